--- a/packages/core/src/catalogue/parse-catalogue.ts
+++ b/packages/core/src/catalogue/parse-catalogue.ts
@@ -6,8 +6,8 @@
 
 /** A valid catalogue, or every problem found. */
 export type ParsedCatalogue =
-	| {readonly ok: true; readonly catalogue: Catalogue} |
-	{readonly ok: false; readonly problems: readonly Problem[]};
+	| {readonly ok: true; readonly catalogue: Catalogue}
+	| {readonly ok: false; readonly problems: readonly Problem[]};
 
 function missing(path: string, value: string, section: string): Problem {
 	return {path, value: JSON.stringify(value), expected: `the name of an entry in ${section}`};
--- a/packages/core/src/node/effect.ts
+++ b/packages/core/src/node/effect.ts
@@ -9,17 +9,19 @@
 
 export type Effect =
 	/** Sends the task's request to a worker; ends with `attempt-finished`. */
-	| {readonly type: 'start-attempt'; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly address: string; readonly timeoutMs: number} |
-	{readonly type: 'cancel-attempt'; readonly attemptId: string; readonly workerId: string} |
+	| {readonly type: 'start-attempt'; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly address: string; readonly timeoutMs: number}
+	| {readonly type: 'cancel-attempt'; readonly attemptId: string; readonly workerId: string}
 	/** Returns the answer of an attempt to the caller. */
-	{readonly type: 'answer'; readonly taskId: string; readonly attemptId: string} |
-	{readonly type: 'refuse'; readonly taskId: string; readonly refusal: Refusal} |
+	| {readonly type: 'answer'; readonly taskId: string; readonly attemptId: string}
+	| {readonly type: 'refuse'; readonly taskId: string; readonly refusal: Refusal}
 	/** Ends with `store-transacted` for the same purpose and identifier. */
-	{readonly type: 'store-transact'; readonly purpose: Purpose; readonly id: string; readonly transaction: Transaction} |
+	| {readonly type: 'store-transact'; readonly purpose: Purpose; readonly id: string; readonly transaction: Transaction}
 	/** Ends with `store-listed` for the same purpose and identifier. */
-	{readonly type: 'store-list'; readonly purpose: Purpose; readonly id: string; readonly prefix: string} |
-	{readonly type: 'count'; readonly counter: Counter} |
+	| {readonly type: 'store-list'; readonly purpose: Purpose; readonly id: string; readonly prefix: string}
+	/** Sends a message to another member; it may be lost, late or duplicated. */
+	| {readonly type: 'peer-send'; readonly to: string; readonly message: Message}
+	| {readonly type: 'count'; readonly counter: Counter}
 	/** All tasks have ended after `shutdown-requested`. */
-	{readonly type: 'shutdown-finished'};
+	| {readonly type: 'shutdown-finished'};
 
 export type EffectOf<Type extends Effect['type']> = Extract<Effect, {type: Type}>;
--- a/packages/core/src/node/event.ts
+++ b/packages/core/src/node/event.ts
@@ -26,10 +26,10 @@
  * sent and no whole answer came back.
  */
 export type AttemptOutcome =
-	| {readonly type: 'succeeded'} |
-	{readonly type: 'not-started'; readonly cause: 'connection-refused' | 'slots-full' | 'leaving' | 'lease-lapsed' | 'duplicate'} |
-	{readonly type: 'failed'; readonly status: number} |
-	{readonly type: 'lost'; readonly cause: 'connection-lost' | 'answer-incomplete' | 'timeout'};
+	| {readonly type: 'succeeded'}
+	| {readonly type: 'not-started'; readonly cause: 'connection-refused' | 'slots-full' | 'leaving' | 'lease-lapsed' | 'duplicate'}
+	| {readonly type: 'failed'; readonly status: number}
+	| {readonly type: 'lost'; readonly cause: 'connection-lost' | 'answer-incomplete' | 'timeout'};
 
 /** An upstream instance in the platform's instance list; one worker runs on each. */
 export type ListedInstance = {
@@ -51,16 +51,18 @@
 export type Purpose = 'claim' | 'portion' | 'member' | 'catalogue' | 'fleet';
 
 export type Event =
-	| {readonly type: 'request-arrived'; readonly at: number; readonly arrival: Arrival} |
-	{readonly type: 'request-cancelled'; readonly at: number; readonly taskId: string} |
-	{readonly type: 'attempt-finished'; readonly at: number; readonly attemptId: string; readonly outcome: AttemptOutcome} |
-	{readonly type: 'catalogue-loaded'; readonly at: number; readonly snapshot: Snapshot} |
-	{readonly type: 'configuration-confirmed'; readonly at: number} |
-	{readonly type: 'store-transacted'; readonly at: number; readonly purpose: Purpose; readonly id: string; readonly outcome: StoreOutcome<TransactionResult>} |
-	{readonly type: 'store-listed'; readonly at: number; readonly purpose: Purpose; readonly id: string; readonly outcome: StoreOutcome<Listing>} |
-	{readonly type: 'instances-listed'; readonly at: number; readonly instances: readonly ListedInstance[]} |
-	{readonly type: 'usage-reported'; readonly at: number; readonly usage: readonly Usage[]} |
-	{readonly type: 'tick'; readonly at: number} |
-	{readonly type: 'shutdown-requested'; readonly at: number};
+	| {readonly type: 'request-arrived'; readonly at: number; readonly arrival: Arrival}
+	| {readonly type: 'request-cancelled'; readonly at: number; readonly taskId: string}
+	| {readonly type: 'attempt-finished'; readonly at: number; readonly attemptId: string; readonly outcome: AttemptOutcome}
+	| {readonly type: 'catalogue-loaded'; readonly at: number; readonly snapshot: Snapshot}
+	| {readonly type: 'configuration-confirmed'; readonly at: number}
+	| {readonly type: 'store-transacted'; readonly at: number; readonly purpose: Purpose; readonly id: string; readonly outcome: StoreOutcome<TransactionResult>}
+	| {readonly type: 'store-listed'; readonly at: number; readonly purpose: Purpose; readonly id: string; readonly outcome: StoreOutcome<Listing>}
+	| {readonly type: 'instances-listed'; readonly at: number; readonly instances: readonly ListedInstance[]}
+	| {readonly type: 'usage-reported'; readonly at: number; readonly usage: readonly Usage[]}
+	| {readonly type: 'peers-listed'; readonly at: number; readonly members: readonly string[]}
+	| {readonly type: 'peer-received'; readonly at: number; readonly from: string; readonly message: Message}
+	| {readonly type: 'tick'; readonly at: number}
+	| {readonly type: 'shutdown-requested'; readonly at: number};
 
 export type EventOf<Type extends Event['type']> = Extract<Event, {type: Type}>;
--- a/packages/core/src/settings/parse-settings.ts
+++ b/packages/core/src/settings/parse-settings.ts
@@ -4,8 +4,8 @@
 
 /** Valid settings, or every problem found. */
 export type ParsedSettings =
-	| {readonly ok: true; readonly settings: Settings} |
-	{readonly ok: false; readonly problems: readonly Problem[]};
+	| {readonly ok: true; readonly settings: Settings}
+	| {readonly ok: false; readonly problems: readonly Problem[]};
 
 /**
  * Parses and validates a settings file.
--- a/packages/core/src/shares/describe-demand.ts
+++ b/packages/core/src/shares/describe-demand.ts
@@ -12,8 +12,10 @@
 export function describeDemand(node: Node): Record<string, Record<string, Demand>> {
 	const demand: Record<string, Record<string, {running: number; queued: number}>> = {};
 	for (const task of node.tasks.byId.values()) {
-		const pool = demand[task.pool] ??= {};
-		const team = pool[task.team] ??= {running: 0, queued: 0};
+		demand[task.pool] ??= {};
+		const pool = demand[task.pool] ?? {};
+		pool[task.team] ??= {running: 0, queued: 0};
+		const team = pool[task.team] ?? {running: 0, queued: 0};
 		if (task.state === 'running') {
 			team.running += 1;
 		} else {
--- a/packages/core/src/store/transaction.ts
+++ b/packages/core/src/store/transaction.ts
@@ -18,9 +18,9 @@
 };
 
 export type Operation =
-	| {readonly type: 'put'; readonly key: string; readonly value: string; readonly leaseId?: string} |
-	{readonly type: 'delete'; readonly key: string} |
-	{readonly type: 'get'; readonly key: string};
+	| {readonly type: 'put'; readonly key: string; readonly value: string; readonly leaseId?: string}
+	| {readonly type: 'delete'; readonly key: string}
+	| {readonly type: 'get'; readonly key: string};
 
 /** Applies `success` when every comparison holds, otherwise `failure`, atomically. */
 export type Transaction = {
--- a/packages/daemon/src/http/read-request.ts
+++ b/packages/daemon/src/http/read-request.ts
@@ -6,8 +6,8 @@
 
 /** A request read whole, or why it could not be. */
 export type ReadRequest =
-	| {readonly ok: true; readonly arrival: Arrival; readonly body: Uint8Array} |
-	{readonly ok: false; readonly reason: Reason; readonly detail: string};
+	| {readonly ok: true; readonly arrival: Arrival; readonly body: Uint8Array}
+	| {readonly ok: false; readonly reason: Reason; readonly detail: string};
 
 const maximumIdempotencyKeyLength = 255;
 const bearerPattern = /^bearer (?<key>[\w\-.~+/]{16,200}=*)$/i;
--- a/packages/measure/src/pump.ts
+++ b/packages/measure/src/pump.ts
@@ -18,10 +18,10 @@
 
 /** What happened, in order of time. */
 export type TraceEntry =
-	| {readonly type: 'started'; readonly at: number; readonly node: string; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly team: string} |
-	{readonly type: 'ended'; readonly at: number; readonly node: string; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly team: string; readonly outcome: AttemptOutcome} |
-	{readonly type: 'answered'; readonly at: number; readonly node: string; readonly taskId: string} |
-	{readonly type: 'refused'; readonly at: number; readonly node: string; readonly taskId: string; readonly refusal: Refusal};
+	| {readonly type: 'started'; readonly at: number; readonly node: string; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly team: string}
+	| {readonly type: 'ended'; readonly at: number; readonly node: string; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly team: string; readonly outcome: AttemptOutcome}
+	| {readonly type: 'answered'; readonly at: number; readonly node: string; readonly taskId: string}
+	| {readonly type: 'refused'; readonly at: number; readonly node: string; readonly taskId: string; readonly refusal: Refusal};
 
 /** Outcome of a call to the in-memory store. */
 export type CallOutcome<Value> = {ok: true; value: Value} | {ok: false; reason: 'unavailable' | 'outcome-unknown'};
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -7,9 +7,9 @@
 
 /** What a watch reports. After `compacted` or `ended` the watch is over. */
 export type WatchEvent =
-	| {readonly type: 'changed'; readonly changes: readonly Change[]; readonly revision: number} |
-	{readonly type: 'compacted'; readonly revision: number} |
-	{readonly type: 'ended'};
+	| {readonly type: 'changed'; readonly changes: readonly Change[]; readonly revision: number}
+	| {readonly type: 'compacted'; readonly revision: number}
+	| {readonly type: 'ended'};
 
 /** Each method resolves to an outcome value and never rejects. Times are in milliseconds. */
 export type Store = {
--- a/xo.config.js
+++ b/xo.config.js
@@ -7,8 +7,8 @@
 			'no-await-in-loop': 'off',
 			// A lookup table keyed by the discriminant of a union needs one assertion at its call.
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
-			// Doc comments on exported functions hold one example each; long unions stay one member a line.
-			'@stylistic/operator-linebreak': ['error', 'after', {overrides: {'=': 'after', '?': 'before', ':': 'before'}}],
+			// The first member of a multi-line union starts on its own line.
+			'@stylistic/operator-linebreak': ['error', 'before', {overrides: {'=': 'after'}}],
 			// Regular expressions stay within the ES2023 target.
 			'require-unicode-regexp': 'off',
 		},
