--- a/packages/daemon/src/host.ts
+++ b/packages/daemon/src/host.ts
@@ -19,7 +19,9 @@
 /** An attempt in flight. */
 export type Flight = {
 	readonly address: string;
-	readonly abort: AbortController;
+	/** Set once the request is on its way. */
+	abort?: () => void;
+	cancelled: boolean;
 };
 
 export type Host = {
--- a/packages/daemon/src/http/read-request.ts
+++ b/packages/daemon/src/http/read-request.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
+import {LRUCache} from 'lru-cache';
 import {type Arrival} from '@rosemaryquay/core/node/event';
 import {type Reason} from '@rosemaryquay/core/refusal';
 
@@ -13,6 +14,19 @@
 const bearerPattern = /^bearer (?<key>[\w\-.~+/]{16,200}=*)$/i;
 const emptyBody = new Uint8Array();
 
+/** Hashes of recently presented keys; hashing again for each request costs a tenth of its time. */
+const hashes = new LRUCache<string, string>({max: 1000});
+
+function hashKey(key: string): string {
+	let hash = hashes.get(key);
+	if (hash === undefined) {
+		hash = createHash('sha256').update(key).digest('hex');
+		hashes.set(key, hash);
+	}
+
+	return hash;
+}
+
 async function readBody(request: IncomingMessage, limit: number): Promise<Uint8Array | 'too-large' | 'incomplete'> {
 	const {'content-length': declared, 'transfer-encoding': encoding} = request.headers;
 	if (declared === undefined && encoding === undefined) {
@@ -24,6 +38,10 @@
 	}
 
 	return new Promise(resolve => {
+		const fail = (): void => {
+			resolve('incomplete');
+		};
+
 		const chunks: Uint8Array[] = [];
 		let size = 0;
 		request.on('data', (chunk: Uint8Array) => {
@@ -38,12 +56,8 @@
 		request.once('end', () => {
 			resolve(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
 		});
-		request.once('close', () => {
-			resolve('incomplete');
-		});
-		request.once('error', () => {
-			resolve('incomplete');
-		});
+		request.once('close', fail);
+		request.once('error', fail);
 	});
 }
 
@@ -98,7 +112,7 @@
 			id,
 			queue,
 			bodyBytes: body.length,
-			...(key !== undefined && {keyHash: createHash('sha256').update(key).digest('hex')}),
+			...(key !== undefined && {keyHash: hashKey(key)}),
 			...(deadlineMs !== undefined && {deadlineMs}),
 			...(idempotencyKey !== undefined && {idempotencyKey, fingerprint: createHash('sha256').update(queue).update('\0').update(body).digest('hex')}),
 		},
--- a/packages/daemon/src/performers/cancel-attempt.ts
+++ b/packages/daemon/src/performers/cancel-attempt.ts
@@ -15,6 +15,7 @@
 		return;
 	}
 
-	flight.abort.abort();
+	flight.cancelled = true;
+	flight.abort?.();
 	void host.workers.cancel(flight.address, effect.attemptId);
 }
--- a/packages/daemon/src/performers/start-attempt.ts
+++ b/packages/daemon/src/performers/start-attempt.ts
@@ -1,5 +1,5 @@
 import {type EffectOf} from '@rosemaryquay/core/node/effect';
-import {type Host} from '../host.js';
+import {type Flight, type Host} from '../host.js';
 
 async function runAttempt(host: Host, effect: EffectOf<'start-attempt'>): Promise<void> {
 	const {taskId, attemptId, address, timeoutMs} = effect;
@@ -11,10 +11,15 @@
 		return;
 	}
 
-	const abort = new AbortController();
-	host.flights.set(attemptId, {address, abort});
+	const flight: Flight = {address, cancelled: false};
+	host.flights.set(attemptId, flight);
 	const {outcome, answer} = await host.workers.start({
-		attemptId, address, timeoutMs, contentType: exchange.contentType, body: exchange.body, signal: abort.signal,
+		attemptId, address, timeoutMs, contentType: exchange.contentType, body: exchange.body, onStart(abort) {
+			flight.abort = abort;
+			if (flight.cancelled) {
+				abort();
+			}
+		},
 	});
 	host.flights.delete(attemptId);
 	if (answer !== undefined) {
--- a/packages/daemon/src/worker-client.ts
+++ b/packages/daemon/src/worker-client.ts
@@ -4,6 +4,7 @@
 import {Pool} from 'undici';
 import {type AttemptOutcome} from '@rosemaryquay/core/node/event';
 import {taskLeaseTtlMs} from '@rosemaryquay/core/constants';
+import {sendRequest, type WholeResponse} from './send-request.js';
 
 /** A whole answer of a worker. */
 export type Answer = {
@@ -18,7 +19,8 @@
 	readonly contentType: string;
 	readonly body: Uint8Array;
 	readonly timeoutMs: number;
-	readonly signal: AbortSignal;
+	/** Receives the function that aborts the request once it is on its way. */
+	readonly onStart?: (abort: () => void) => void;
 };
 
 export type AttemptResult = {readonly outcome: AttemptOutcome; readonly answer?: Answer};
@@ -36,10 +38,30 @@
 		return {type: 'not-started', cause: 'connection-refused'};
 	}
 
-	return {type: 'lost', cause: error instanceof Error && error.name === 'TimeoutError' ? 'timeout' : 'connection-lost'};
+	return {type: 'lost', cause: error instanceof Error && error.name.endsWith('TimeoutError') ? 'timeout' : 'connection-lost'};
+}
+
+function readAnswer(response: WholeResponse, attemptId: string): AttemptResult {
+	const {status, headers, body} = response;
+	const cause = headers['rosemaryquay-not-run'];
+	if (typeof cause === 'string' && notRunCauses.has(cause)) {
+		return {outcome: {type: 'not-started', cause: cause as 'slots-full'}};
+	}
+
+	if (headers[attemptHeader] !== attemptId) {
+		return {outcome: {type: 'lost', cause: 'answer-incomplete'}};
+	}
+
+	if (status >= 400) {
+		return {outcome: {type: 'failed', status}};
+	}
+
+	const type = headers['content-type'];
+	return {outcome: {type: 'succeeded'}, answer: {status, contentType: typeof type === 'string' ? type : 'application/octet-stream', body}};
 }
 
 export class WorkerClient {
+	readonly #leaseMs = String(taskLeaseTtlMs);
 	readonly #holder: string;
 	readonly #connections: number;
 	readonly #answerBytes: number;
@@ -53,40 +75,22 @@
 	}
 
 	async start(request: AttemptRequest): Promise<AttemptResult> {
-		const {attemptId, address, contentType, body, timeoutMs, signal} = request;
+		const {attemptId, address, contentType, body, timeoutMs, onStart} = request;
 		try {
-			const response = await this.#pool(address).request({
+			const response = await sendRequest(this.#pool(address), {
 				path: '/tasks',
 				method: 'POST',
 				headers: {
 					'content-type': contentType,
 					[attemptHeader]: attemptId,
 					'rosemaryquay-holder': this.#holder,
-					'rosemaryquay-lease-ms': String(taskLeaseTtlMs),
+					'rosemaryquay-lease-ms': this.#leaseMs,
 				},
 				body,
 				headersTimeout: timeoutMs,
 				bodyTimeout: timeoutMs,
-				signal,
-			});
-			const cause = String(response.headers['rosemaryquay-not-run'] ?? '');
-			if (notRunCauses.has(cause)) {
-				await response.body.dump();
-				return {outcome: {type: 'not-started', cause: cause as 'slots-full'}};
-			}
-
-			if (Number(response.headers['content-length'] ?? 0) > this.#answerBytes || response.headers[attemptHeader] !== attemptId) {
-				response.body.destroy();
-				return {outcome: {type: 'lost', cause: 'answer-incomplete'}};
-			}
-
-			const answerBody = new Uint8Array(await response.body.arrayBuffer());
-			if (response.statusCode >= 400) {
-				return {outcome: {type: 'failed', status: response.statusCode}};
-			}
-
-			const type = String(response.headers['content-type'] ?? 'application/octet-stream');
-			return {outcome: {type: 'succeeded'}, answer: {status: response.statusCode, contentType: type, body: answerBody}};
+			}, {bodyBytes: this.#answerBytes, ...(onStart !== undefined && {onStart})});
+			return readAnswer(response, attemptId);
 		} catch (error) {
 			return {outcome: outcomeOfError(error)};
 		}
