--- a/packages/measure/src/experiments/request-path.ts
+++ b/packages/measure/src/experiments/request-path.ts
@@ -13,9 +13,10 @@
 const key = 'request-path-key-0001';
 const slots = 64;
 const connections = 32;
+/** Rounds alternate between both ways and their median counts, so that other load on the machine affects both. */
 const rounds = 3;
 const roundMs = 2500;
-const halfLoadMs = 4000;
+const halfLoadMs = 1500;
 const warmUpMs = 1500;
 
 function createCatalogue() {
@@ -63,14 +64,20 @@
 
 			const directRate = median(full.direct.map(load => load.requestsPerSecond));
 			const throughRate = median(full.through.map(load => load.requestsPerSecond));
-			const half = {durationMs: halfLoadMs, connections, requestsPerSecond: throughRate / 2};
-			const directHalf = await runLoad(direct, half);
-			const throughHalf = await runLoad(through, half);
-			const failed = [...full.direct, ...full.through, directHalf, throughHalf].reduce((sum, load) => sum + load.failed, 0);
+			const halfLoad = {durationMs: halfLoadMs, connections, requestsPerSecond: throughRate / 2};
+			const half: {direct: Load[]; through: Load[]} = {direct: [], through: []};
+			for (let round = 0; round < rounds; round++) {
+				half.direct.push(await runLoad(direct, halfLoad));
+				half.through.push(await runLoad(through, halfLoad));
+			}
+
+			const directP99 = median(half.direct.map(load => load.p99Ms));
+			const throughP99 = median(half.through.map(load => load.p99Ms));
+			const failed = [...full.direct, ...full.through, ...half.direct, ...half.through].reduce((sum, load) => sum + load.failed, 0);
 			return {
 				bounds: [
 					checkBound('throughput relative to direct', throughRate / directRate, {comparison: 'atLeast', limit: 0.5, unit: 'ratio'}),
-					checkBound('p99 at half load relative to direct', throughHalf.p99Ms / directHalf.p99Ms, {comparison: 'atMost', limit: 2, unit: 'ratio'}),
+					checkBound('p99 at half load relative to direct', throughP99 / directP99, {comparison: 'atMost', limit: 2, unit: 'ratio'}),
 					checkBound('answers other than 200', failed, {comparison: 'atMost', limit: 0, unit: 'requests'}),
 				],
 				baselines: [
@@ -78,11 +85,11 @@
 						name: 'direct', measure: 'throughput', unit: 'requests/s', value: directRate,
 					},
 					{
-						name: 'direct', measure: 'p99 at half load', unit: 'ms', value: directHalf.p99Ms,
+						name: 'direct', measure: 'p99 at half load', unit: 'ms', value: directP99,
 					},
 				],
 				details: {
-					throughRate, full, directHalf, throughHalf,
+					throughRate, full, half,
 				},
 			};
 		} finally {
