Add the audit trace, its check, and the operators' read interface

Cause: the promises need a check that shares no code with the decisions. Daemons write trace events when log.trace is set; rosemaryquay audit reads the traces of several instances. Operators authenticate with a key whose hash is compared in constant time; every act is logged with who and what. A graceful shutdown now fails readiness first and goes on serving until the balancer has moved callers away.

--- a/packages/cli/src/create-cli.ts
+++ b/packages/cli/src/create-cli.ts
@@ -1,4 +1,5 @@
 import {Builtins, Cli} from 'clipanion';
+import {AuditCommand} from './commands/audit.js';
 import {CheckCommand} from './commands/check.js';
 
 /**
@@ -12,6 +13,7 @@
 	const cli = new Cli({binaryLabel: 'rosemaryquay', binaryName: 'rosemaryquay', binaryVersion: '0.1.0'});
 	cli.register(Builtins.HelpCommand);
 	cli.register(Builtins.VersionCommand);
+	cli.register(AuditCommand);
 	cli.register(CheckCommand);
 	return cli;
 }
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -27,16 +27,22 @@
 		url: z.url(),
 		intervalMs: z.int().min(50).default(1000),
 	}),
+	/** Key hashes of operators by name, for the time before the catalogue names any. */
+	operators: z.record(nameSchema, z.string().regex(/^[\da-f]{64}$/, 'expected the SHA-256 hash of a key as 64 hexadecimal digits')).default({}),
 	metrics: z.strictObject({
 		host: z.union([z.ipv4(), z.ipv6()]),
 		port: z.int().min(1).max(65_535),
 	}).optional(),
 	log: z.strictObject({
 		level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+		/** Also logs the trace that `rosemaryquay audit` reads. */
+		trace: z.boolean().default(false),
 	}).prefault({}),
 	limits: z.strictObject({
 		headerBytes: z.int().min(1024).default(16_384),
 		answerBytes: z.int().min(1024).default(8 * 1024 * 1024),
+		/** Time between failing readiness and refusing new requests, in which the balancer moves callers elsewhere. */
+		readinessDelayMs: z.int().min(0).default(2000),
 		/** Time that a graceful shutdown may take. */
 		shutdownMs: z.int().min(0).default(30_000),
 	}).prefault({}),
--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -41,7 +41,7 @@
 		id: 'w-1', address: worker.address, zone: 'zone-a', rack: 'r-1', pool: 'web', state: 'live',
 	}];
 	const settings = settingsSchema.parse({
-		instance: 'entry-1', zone: 'zone-a', http: {host: '127.0.0.1', port: 0}, store: {url: store.url}, instanceList: {url: instanceList.url},
+		instance: 'entry-1', zone: 'zone-a', http: {host: '127.0.0.1', port: 0}, store: {url: store.url}, instanceList: {url: instanceList.url}, limits: {readinessDelayMs: 0},
 	});
 	const silent = new Writable({
 		write(_chunk, _encoding, done) {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,8 +4,10 @@
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {LRUCache} from 'lru-cache';
 import {taskLeaseTtlMs, tickIntervalMs} from '@rosemaryquay/core/constants';
 import {createNode} from '@rosemaryquay/core/node/create-node';
+import {type Effect} from '@rosemaryquay/core/node/effect';
 import {type Event} from '@rosemaryquay/core/node/event';
 import {reduce} from '@rosemaryquay/core/node/reduce';
 import {EtcdStore} from '@rosemaryquay/platform/etcd-store';
@@ -15,10 +17,16 @@
 import {type Logger} from './create-logger.js';
 import {createMetrics, type Metrics} from './create-metrics.js';
 import {type Host} from './host.js';
+import {createTrace, type Trace} from './create-trace.js';
 import {createRouter} from './http/create-router.js';
+import {type Explanation, listStateRoutes} from './operator/list-state-routes.js';
+import {mountRoutes} from './operator/mount-routes.js';
 import {performEffect} from './perform-effect.js';
 import {WorkerClient} from './worker-client.js';
 
+/** Requests that `rosemaryquay explain` can tell about. */
+const rememberedRequests = 10_000;
+
 /** Renewals of a task lease within its time to live. */
 const renewalsPerLease = 3;
 
@@ -28,6 +36,8 @@
 	readonly #logger: Logger;
 	readonly #node;
 	readonly #host: Host;
+	readonly #trace: Trace | undefined;
+	readonly #explanations = new LRUCache<string, Explanation>({max: rememberedRequests});
 	readonly #server: Server;
 	readonly #instanceList: InstanceList;
 	readonly #catalogueReader: CatalogueReader;
@@ -43,7 +53,16 @@
 		this.#host = this.#createHost();
 		this.#instanceList = new InstanceList({url: settings.instanceList.url});
 		this.#catalogueReader = new CatalogueReader({host: this.#host});
+		this.#trace = settings.log.trace ? createTrace(logger) : undefined;
 		const router = createRouter(this.#host, this.#node);
+		mountRoutes(router, {
+			routes: listStateRoutes({
+				node: this.#node, metrics: this.metrics, now: () => performance.now(), explain: id => this.#explanations.get(id),
+			}),
+			logger,
+			operators: settings.operators,
+			snapshot: () => this.#node.snapshot,
+		});
 		this.#server = createServer({maxHeaderSize: settings.limits.headerBytes}, (request, response) => {
 			router.lookup(request, response);
 		});
@@ -75,6 +94,8 @@
 	/** Stops accepting work, finishes what was admitted, and resolves to the number of requests cut off. */
 	async shutDown(): Promise<number> {
 		this.#logger.log('process-shutdown-begun', {requests: this.#host.exchanges.size});
+		this.#host.draining = true;
+		await delay(this.#settings.limits.readinessDelayMs, undefined, {ref: false});
 		const finished = new Promise<void>(resolve => {
 			this.#finishShutdown = resolve;
 		});
@@ -105,6 +126,7 @@
 	#createHost(): Host {
 		const {instance, store, limits} = this.#settings;
 		return {
+			draining: false,
 			exchanges: new Map(),
 			flights: new Map(),
 			answers: new Map(),
@@ -127,11 +149,23 @@
 	}
 
 	#dispatch(event: Event): void {
+		this.#trace?.before(this.#node, event);
 		for (const effect of reduce(this.#node, event)) {
+			this.#trace?.effect(this.#node, event, effect);
+			this.#remember(effect);
 			performEffect(this.#host, effect);
 		}
 	}
 
+	#remember(effect: Effect): void {
+		if (effect.type === 'refuse') {
+			const {reason, execution, detail} = effect.refusal;
+			this.#explanations.set(effect.taskId, {
+				at: new Date().toISOString(), outcome: `refused: ${reason}`, execution, ...(detail !== undefined && {detail}),
+			});
+		}
+	}
+
 	async #refreshInstances(): Promise<void> {
 		const outcome = await this.#instanceList.list();
 		if (!outcome.ok) {
--- a/packages/daemon/src/host.ts
+++ b/packages/daemon/src/host.ts
@@ -25,6 +25,8 @@
 };
 
 export type Host = {
+	/** A graceful shutdown has begun: readiness fails, and connections end with their next response. */
+	draining: boolean;
 	readonly exchanges: Map<string, Exchange>;
 	readonly flights: Map<string, Flight>;
 	/** Answers of attempts until the reducer has decided what becomes of them. */
--- a/packages/daemon/src/http/create-router.ts
+++ b/packages/daemon/src/http/create-router.ts
@@ -18,6 +18,10 @@
 
 async function submit(host: Host, node: Node, submission: Submission): Promise<void> {
 	const {request, response, queue} = submission;
+	if (host.draining) {
+		response.setHeader('connection', 'close');
+	}
+
 	const id = randomUUID();
 	const bodyBytes = node.snapshot.catalogue.queues[queue]?.limits.bodyBytes ?? maximumBodyBytes;
 	const read = await readRequest(request, {id, queue, bodyBytes});
@@ -62,7 +66,7 @@
 		writeJson(response, 200, {status: 'live'});
 	});
 	router.on('GET', '/health/ready', (_request, response) => {
-		const ready = !node.tasks.shuttingDown && isFresh(node, host.now());
+		const ready = !host.draining && !node.tasks.shuttingDown && isFresh(node, host.now());
 		writeJson(response, ready ? 200 : 503, {status: ready ? 'ready' : 'not ready', revision: node.snapshot.revision});
 	});
 	return router;
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -48,6 +48,33 @@
 	'instance-list-unavailable': {
 		number: 304, level: 'warn', text: 'The instance list does not answer', action: 'Check the platform; the last list stays in use.',
 	},
+	'operator-act': {
+		number: 310, level: 'info', text: 'An operator changed something', action: 'None; the line names the operator.',
+	},
+	'operator-refused': {
+		number: 311, level: 'warn', text: 'A request without a valid operator key was refused', action: 'Check where it came from.',
+	},
+	'operator-failed': {
+		number: 312, level: 'error', text: 'An operator request failed inside the daemon', action: 'Report the log line.',
+	},
+	'trace-configuration': {
+		number: 500, level: 'info', text: 'Trace: a configuration came into force', action: 'Read by `rosemaryquay audit`.',
+	},
+	'trace-admitted': {
+		number: 501, level: 'info', text: 'Trace: a request was admitted with a key', action: 'Read by `rosemaryquay audit`.',
+	},
+	'trace-started': {
+		number: 502, level: 'info', text: 'Trace: an attempt was started', action: 'Read by `rosemaryquay audit`.',
+	},
+	'trace-ended': {
+		number: 503, level: 'info', text: 'Trace: an attempt ended', action: 'Read by `rosemaryquay audit`.',
+	},
+	'trace-refused': {
+		number: 504, level: 'info', text: 'Trace: a request was refused', action: 'Read by `rosemaryquay audit`.',
+	},
+	'trace-answered': {
+		number: 505, level: 'info', text: 'Trace: a request was answered', action: 'Read by `rosemaryquay audit`.',
+	},
 } as const satisfies Record<string, {number: number; level: Level; text: string; action: string}>;
 
 export type LogEvent = keyof typeof logEvents;
--- /dev/null
+++ b/packages/daemon/src/operator/authenticate-operator.ts
@@ -0,0 +1,35 @@
+import {Buffer} from 'node:buffer';
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {type Snapshot} from '@rosemaryquay/core/catalogue/create-snapshot';
+
+const bearerPattern = /^bearer (?<key>\S{16,200})$/i;
+
+/**
+ * Finds the operator whose key an `Authorization` header carries. Every known hash is compared
+ * in constant time.
+ *
+ * @param authorization - value of the header
+ * @param snapshot - the catalogue in force
+ * @param options - operators from the settings, as key hashes by name, for the time before the first catalogue
+ * @returns the operator's name, or `undefined`
+ * @example
+ * const operator = authenticateOperator(request.headers.authorization, node.snapshot);
+ */
+export function authenticateOperator(authorization: string | undefined, snapshot: Snapshot, options: {operators?: Readonly<Record<string, string>>} = {}): string | undefined {
+	const {operators = {}} = options;
+	const key = authorization === undefined ? undefined : bearerPattern.exec(authorization)?.groups?.key;
+	if (key === undefined) {
+		return undefined;
+	}
+
+	const presented = createHash('sha256').update(key).digest();
+	let found: string | undefined;
+	const known = [...snapshot.operatorByKeyHash, ...Object.entries(operators).map(([name, hash]): [string, string] => [hash, name])];
+	for (const [hash, name] of known) {
+		if (timingSafeEqual(presented, Buffer.from(hash, 'hex'))) {
+			found = name;
+		}
+	}
+
+	return found;
+}
