--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,6 +27,12 @@
 /** Requests that `rosemaryquay explain` can tell about. */
 const rememberedRequests = 10_000;
 
+/**
+ * Time that an idle connection stays open. Balancers reuse connections for about a minute; a server
+ * that closes first can break a request that is already on its way.
+ */
+const keepAliveTimeoutMs = 75_000;
+
 /** Renewals of a task lease within its time to live. */
 const renewalsPerLease = 3;
 
@@ -63,7 +69,7 @@
 			operators: settings.operators,
 			snapshot: () => this.#node.snapshot,
 		});
-		this.#server = createServer({maxHeaderSize: settings.limits.headerBytes}, (request, response) => {
+		this.#server = createServer({maxHeaderSize: settings.limits.headerBytes, keepAliveTimeout: keepAliveTimeoutMs}, (request, response) => {
 			router.lookup(request, response);
 		});
 	}
