--- /dev/null
+++ b/packages/core/src/catalogue/build-correction.ts
@@ -0,0 +1,117 @@
+/**
+ * Transactions that correct the store: write-back of lost entries, adoption or rejection of direct writes.
+ */
+import {maximumCorrections} from '../constants.js';
+import {type Entry, type Operation, type Transaction} from '../store/transaction.js';
+import {applyEntries} from './apply-entries.js';
+import {createEditedEntry} from './build-edit.js';
+import {catalogueKeys, sectionRank} from './catalogue-keys.js';
+import {type Accepted, type VersionedEntry} from './catalogue-state.js';
+import {formatEntry, formatHead} from './parse-stored-entry.js';
+import {type DirectWrite, type Reconciliation} from './reconcile-store.js';
+import {type Section} from './schema.js';
+
+/** Operator recorded for adopted direct writes. */
+const directOperator = 'store-tools';
+
+export type Correction = {
+	readonly transaction: Transaction;
+	readonly adopted: number;
+	readonly rejected: number;
+	readonly restored: number;
+};
+
+function toEntry(write: DirectWrite, revision: number, requestId: string, accepted: Accepted): VersionedEntry {
+	const [section, name = ''] = write.path.split('/');
+	return createEditedEntry({
+		requestId: `${requestId}-${write.path}`, operator: directOperator, section: section as Section, name, value: write.value,
+	}, revision, accepted.entries.get(write.path));
+}
+
+/** Splits direct writes into those that keep the whole catalogue valid and the others. */
+function splitWrites(accepted: Accepted, writes: readonly DirectWrite[], revision: number, requestId: string): {adopted: VersionedEntry[]; rejected: DirectWrite[]} {
+	const rejected = writes.filter(write => write.malformed !== undefined);
+	const candidates = writes.filter(write => write.malformed === undefined).toSorted((a, b) => sectionRank(a.path) - sectionRank(b.path)).slice(0, maximumCorrections);
+	const entries = candidates.map(write => toEntry(write, revision, requestId, accepted));
+	if (applyEntries(accepted, entries, revision).ok) {
+		return {adopted: entries, rejected};
+	}
+
+	const adopted: VersionedEntry[] = [];
+	for (const [index, entry] of entries.entries()) {
+		const candidate = candidates[index];
+		if (applyEntries(accepted, [...adopted, entry], revision).ok) {
+			adopted.push(entry);
+		} else if (candidate !== undefined) {
+			rejected.push(candidate);
+		}
+	}
+
+	return {adopted, rejected};
+}
+
+/**
+ * Builds the next transaction that corrects the store. It compares the head and every key that it
+ * writes with what was seen, so that of several members that correct the store, one succeeds.
+ *
+ * @param accepted - the accepted catalogue
+ * @param view - the store's entries by key
+ * @param reconciliation - what differs
+ * @param options - prefix of the keys and an identifier of the correction
+ * @returns the correction, or `undefined` when nothing needs one
+ * @example
+ * const correction = buildCorrection(accepted, view, reconcileStore(accepted, view, prefix), {prefix, requestId});
+ */
+export function buildCorrection(accepted: Accepted, view: ReadonlyMap<string, Entry>, reconciliation: Reconciliation, options: {prefix: string; requestId: string}): Correction | undefined {
+	const {prefix, requestId} = options;
+	const {headRevision, lost, direct} = reconciliation;
+	const keys = catalogueKeys(prefix);
+	const behind = headRevision < accepted.revision;
+	if (lost.length === 0 && direct.length === 0 && !behind) {
+		return undefined;
+	}
+
+	const next = Math.max(headRevision, accepted.revision) + 1;
+	const writes = new Map<string, string | undefined>();
+	// A store that has lost edits gets their documents unchanged, and the head with the last of them.
+	const restored = lost.slice(0, maximumCorrections);
+	for (const entry of restored) {
+		const key = `${keys.sections}${entry.path}`;
+		writes.set(key, formatEntry(behind ? entry : {...entry, revision: next}));
+		const replaced = view.get(key);
+		if (replaced !== undefined && !replaced.value.includes(entry.requestId) && entry.earlier.every(id => !replaced.value.includes(id))) {
+			writes.set(`${keys.rejected}${entry.path}`, replaced.value);
+		}
+	}
+
+	let head = behind && lost.length <= maximumCorrections ? accepted.revision : undefined;
+	let counts = {adopted: 0, rejected: 0};
+	if (restored.length < maximumCorrections && !behind) {
+		const {adopted, rejected} = splitWrites(accepted, direct, next, requestId);
+		for (const entry of adopted) {
+			writes.set(`${keys.sections}${entry.path}`, formatEntry(entry));
+		}
+
+		for (const write of rejected.slice(0, maximumCorrections)) {
+			const key = `${keys.sections}${write.path}`;
+			const known = accepted.entries.get(write.path);
+			writes.set(`${keys.rejected}${write.path}`, write.malformed ?? JSON.stringify(write.value));
+			writes.set(key, known === undefined ? undefined : formatEntry(known));
+		}
+
+		counts = {adopted: adopted.length, rejected: rejected.length};
+		head = adopted.length > 0 || restored.length > 0 ? next : undefined;
+	}
+
+	if (head !== undefined) {
+		writes.set(keys.head, formatHead(head, requestId));
+	}
+
+	const compared = new Set([keys.head, ...[...writes.keys()].filter(key => !key.startsWith(keys.rejected))]);
+	const success: Operation[] = [...writes].map(([key, value]) => (value === undefined ? {type: 'delete', key} : {type: 'put', key, value}));
+	return {
+		transaction: {compare: [...compared].map(key => ({key, modRevision: view.get(key)?.modRevision ?? 0})), success, failure: []},
+		...counts,
+		restored: restored.length,
+	};
+}
--- /dev/null
+++ b/packages/core/src/catalogue/build-edit.ts
@@ -0,0 +1,53 @@
+import {type Entry, type Transaction} from '../store/transaction.js';
+import {type Edit, type VersionedEntry} from './catalogue-state.js';
+import {catalogueKeys} from './catalogue-keys.js';
+import {formatEntry, formatHead, maximumEarlier} from './parse-stored-entry.js';
+
+/**
+ * Builds the entry that an edit stores.
+ *
+ * @param edit - the edit
+ * @param revision - its revision
+ * @param previous - the entry that it replaces
+ * @returns the versioned entry
+ * @example
+ * const entry = createEditedEntry(edit, 8, accepted.entries.get('teams/main'));
+ */
+export function createEditedEntry(edit: Omit<Edit, 'baseRevision'>, revision: number, previous: VersionedEntry | undefined): VersionedEntry {
+	const {requestId, operator, section, name, value} = edit;
+	return {
+		path: `${section}/${name}`,
+		revision,
+		requestId,
+		operator,
+		earlier: previous === undefined ? [] : [previous.requestId, ...previous.earlier].slice(0, maximumEarlier),
+		value,
+	};
+}
+
+/**
+ * Builds the transaction of an edit: it compares the head and the entry with what was seen and
+ * writes both. Its other branch reads both back, which resolves lost answers and conflicts.
+ *
+ * @param entry - the entry to store, one revision above the head
+ * @param view - the store's entries by key, as last seen
+ * @param prefix - prefix of the system's keys
+ * @returns the transaction
+ * @example
+ * const transaction = buildEdit(entry, view, 'rosemaryquay/');
+ */
+export function buildEdit(entry: VersionedEntry, view: ReadonlyMap<string, Entry>, prefix: string): Transaction {
+	const keys = catalogueKeys(prefix);
+	const key = `${keys.sections}${entry.path}`;
+	return {
+		compare: [
+			{key: keys.head, modRevision: view.get(keys.head)?.modRevision ?? 0},
+			{key, modRevision: view.get(key)?.modRevision ?? 0},
+		],
+		success: [
+			{type: 'put', key, value: formatEntry(entry)},
+			{type: 'put', key: keys.head, value: formatHead(entry.revision, entry.requestId)},
+		],
+		failure: [{type: 'get', key: keys.head}, {type: 'get', key}],
+	};
+}
--- /dev/null
+++ b/packages/core/src/catalogue/edit-catalogue.ts
@@ -0,0 +1,31 @@
+import {type Effect} from '../node/effect.js';
+import {type EventOf} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {answerEdit, retryEdits} from './retry-edits.js';
+
+/**
+ * Begins an operator's edit of one entry; it ends with `edit-answered`. Submitting the same request
+ * identifier again does not store it twice.
+ *
+ * @param node - the node, updated in place
+ * @param event - the edit
+ * @returns the transaction, or the answer
+ * @example
+ * editCatalogue(node, {type: 'edit-requested', at: 5, edit: {requestId: 'e-1', operator: 'ann', section: 'zones', name: 'zone-a', value, baseRevision: 7}});
+ */
+export function editCatalogue(node: Node, event: EventOf<'edit-requested'>): Effect[] {
+	const {catalogue} = node;
+	const {edit, at} = event;
+	if (catalogue.edits.has(edit.requestId)) {
+		return [];
+	}
+
+	if (catalogue.prefix === undefined) {
+		return answerEdit(node, edit.requestId, {type: 'unavailable'});
+	}
+
+	catalogue.edits.set(edit.requestId, {
+		edit, startedAt: at, retryAt: at, inFlight: false, unresolved: undefined, revision: 0, mayBeStored: false,
+	});
+	return retryEdits(node, at);
+}
--- /dev/null
+++ b/packages/core/src/catalogue/finish-catalogue-transaction.ts
@@ -0,0 +1,92 @@
+import {storeBackoffBaseMs} from '../constants.js';
+import {type Effect} from '../node/effect.js';
+import {type EventOf} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {type PendingEdit} from './catalogue-state.js';
+import {decideEdit} from './decide-edit.js';
+import {noteStoreOutcome} from './note-store-outcome.js';
+import {refreshCatalogue} from './refresh-catalogue.js';
+import {answerEdit} from './retry-edits.js';
+import {tickCatalogue} from './tick-catalogue.js';
+
+/** Shows the entries that a successful edit wrote, without waiting for the watch. */
+function recordWrites(node: Node, pending: PendingEdit, modRevision: number): void {
+	for (const operation of pending.unresolved?.success ?? []) {
+		if (operation.type === 'put' && modRevision > (node.catalogue.view.get(operation.key)?.modRevision ?? 0)) {
+			node.catalogue.view.set(operation.key, {key: operation.key, value: operation.value, modRevision});
+		}
+	}
+}
+
+function finishEdit(node: Node, pending: PendingEdit, event: EventOf<'store-transacted'>): Effect[] {
+	const {outcome, at} = event;
+	const {edit} = pending;
+	pending.inFlight = false;
+	const decision = decideEdit(edit, pending.revision, outcome);
+	if (decision.type === 'unknown') {
+		pending.mayBeStored = true;
+		return [];
+	}
+
+	if (decision.type === 'not-written') {
+		return [];
+	}
+
+	if (decision.type === 'retry') {
+		// Another edit came first; this one is judged again against the listing that follows.
+		pending.unresolved = undefined;
+		pending.mayBeStored = false;
+		pending.retryAt = at + storeBackoffBaseMs;
+		node.catalogue.listWanted = true;
+		return tickCatalogue(node, {at});
+	}
+
+	const effects: Effect[] = [];
+	if (outcome.ok && outcome.value.succeeded) {
+		recordWrites(node, pending, outcome.value.revision);
+		effects.push(...refreshCatalogue(node, at));
+	} else {
+		node.catalogue.listWanted = true;
+	}
+
+	return [...effects, ...answerEdit(node, edit.requestId, {type: 'accepted', revision: decision.revision})];
+}
+
+function finishCorrection(node: Node, event: EventOf<'store-transacted'>): Effect[] {
+	const {catalogue} = node;
+	const {outcome} = event;
+	const {correcting} = catalogue;
+	if (correcting?.id !== event.id) {
+		return [];
+	}
+
+	catalogue.correcting = undefined;
+	// Whatever the outcome, the next listing shows what is left to correct.
+	catalogue.listWanted = true;
+	if (!outcome.ok || !outcome.value.succeeded) {
+		return [];
+	}
+
+	const {adopted, rejected, restored} = correcting;
+	return [{type: 'count', counter: 'catalogue.corrected'}, {
+		type: 'report', report: {
+			type: 'catalogue-corrected', adopted, rejected, restored,
+		},
+	}];
+}
+
+/**
+ * Handles the answer to an edit or to a correction of the store.
+ *
+ * @param node - the node, updated in place
+ * @param event - the answer
+ * @returns the operator's answer, reports, and the next calls
+ * @example
+ * finishCatalogueTransaction(node, {type: 'store-transacted', at: 5, purpose: 'catalogue', id: 'edit-e-1', outcome});
+ */
+export function finishCatalogueTransaction(node: Node, event: EventOf<'store-transacted'>): Effect[] {
+	const effects = noteStoreOutcome(node, event.outcome.ok, event.at);
+	const pending = event.id.startsWith('edit-') ? node.catalogue.edits.get(event.id.slice('edit-'.length)) : undefined;
+	effects.push(...(pending === undefined ? finishCorrection(node, event) : finishEdit(node, pending, event)), ...tickCatalogue(node, event));
+	return effects;
+}
--- /dev/null
+++ b/packages/core/src/catalogue/receive-catalogue-report.ts
@@ -0,0 +1,50 @@
+import {type Effect} from '../node/effect.js';
+import {type EventOf} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {catalogueKeys} from './catalogue-keys.js';
+import {refreshCatalogue} from './refresh-catalogue.js';
+
+/**
+ * Handles a report of the watch of the catalogue. Changes that were seen before are skipped; a
+ * watch that is over is followed by a listing.
+ *
+ * @param node - the node, updated in place
+ * @param event - the report
+ * @returns the reports of a newer catalogue
+ * @example
+ * receiveCatalogueReport(node, {type: 'store-watched', at: 5, purpose: 'catalogue', id: '1', report: {type: 'ended'}});
+ */
+export function receiveCatalogueReport(node: Node, event: EventOf<'store-watched'>): Effect[] {
+	const {catalogue} = node;
+	const {id, report, at} = event;
+	if (id !== String(catalogue.watchId) || catalogue.prefix === undefined) {
+		return [];
+	}
+
+	if (report.type !== 'changed') {
+		catalogue.watching = false;
+		catalogue.listWanted = true;
+		return [];
+	}
+
+	const {sections, rejected} = catalogueKeys(catalogue.prefix);
+	const changed: string[] = [];
+	for (const {key, value, modRevision} of report.changes) {
+		if (modRevision <= (catalogue.view.get(key)?.modRevision ?? 0) || key.startsWith(rejected)) {
+			continue;
+		}
+
+		if (value === undefined) {
+			catalogue.view.delete(key);
+		} else {
+			catalogue.view.set(key, {key, value, modRevision});
+		}
+
+		if (key.startsWith(sections)) {
+			changed.push(key.slice(sections.length));
+		}
+	}
+
+	catalogue.viewRevision = Math.max(catalogue.viewRevision, report.revision);
+	return refreshCatalogue(node, at, changed);
+}
--- /dev/null
+++ b/packages/core/src/catalogue/reconcile-store.ts
@@ -0,0 +1,116 @@
+/**
+ * Comparison of the accepted catalogue with what the store shows.
+ */
+import {type Entry} from '../store/transaction.js';
+import {catalogueKeys, isEntryPath} from './catalogue-keys.js';
+import {type Accepted, type VersionedEntry} from './catalogue-state.js';
+import {parseHead, parseStoredEntry} from './parse-stored-entry.js';
+
+/** A value written without the catalogue's transaction; `value` is `null` for a deletion. */
+export type DirectWrite = {readonly path: string; readonly value: unknown; readonly malformed?: string};
+
+/** What follows from the store's entries. */
+export type Reconciliation = {
+	readonly headRevision: number;
+	/** Entries that the head covers and that are newer than the accepted ones. */
+	readonly newer: readonly VersionedEntry[];
+	/** Accepted entries that the store has lost. */
+	readonly lost: readonly VersionedEntry[];
+	readonly direct: readonly DirectWrite[];
+};
+
+type Comparison = {newer?: VersionedEntry; lost?: VersionedEntry; direct?: DirectWrite};
+
+function compareVersioned(stored: VersionedEntry, known: VersionedEntry | undefined, acceptedRevision: number, headRevision: number): Comparison {
+	if (stored.revision > headRevision) {
+		// Part of a write-back whose head follows; it is in force once the head covers it.
+		return {};
+	}
+
+	const knownRevision = known?.revision ?? 0;
+	if (stored.revision > knownRevision) {
+		// An unknown entry at or below the accepted revision was written to a store restored from an older state.
+		return stored.revision > acceptedRevision ? {newer: stored} : {direct: {path: stored.path, value: stored.value}};
+	}
+
+	if (known === undefined || stored.revision < knownRevision) {
+		return known === undefined ? {} : {lost: known};
+	}
+
+	if (stored.requestId !== known.requestId) {
+		return {lost: known};
+	}
+
+	return JSON.stringify(stored.value) === JSON.stringify(known.value) ? {} : {direct: {path: stored.path, value: stored.value}};
+}
+
+function compareEntry(path: string, text: string | undefined, known: VersionedEntry | undefined, revisions: {accepted: number; head: number}): Comparison {
+	if (text === undefined) {
+		if (known === undefined) {
+			return {};
+		}
+
+		if (known.revision > revisions.head) {
+			return {lost: known};
+		}
+
+		return known.value === null ? {} : {direct: {path, value: null}};
+	}
+
+	const stored = parseStoredEntry(path, text);
+	if (stored.type === 'versioned') {
+		return compareVersioned(stored.entry, known, revisions.accepted, revisions.head);
+	}
+
+	return {direct: stored.type === 'direct' ? {path, value: stored.value} : {path, value: undefined, malformed: text}};
+}
+
+function listPaths(accepted: Accepted, view: ReadonlyMap<string, Entry>, sections: string): Set<string> {
+	const paths = new Set(accepted.entries.keys());
+	for (const key of view.keys()) {
+		if (key.startsWith(sections) && isEntryPath(key.slice(sections.length))) {
+			paths.add(key.slice(sections.length));
+		}
+	}
+
+	return paths;
+}
+
+/**
+ * Compares the accepted catalogue with the store.
+ *
+ * @param accepted - the accepted catalogue
+ * @param view - the store's entries by key
+ * @param prefix - prefix of the system's keys
+ * @param changed - paths to compare, by default all
+ * @returns entries to apply, entries that the store has lost, and direct writes
+ * @example
+ * const {newer, lost, direct} = reconcileStore(accepted, view, 'rosemaryquay/');
+ */
+export function reconcileStore(accepted: Accepted, view: ReadonlyMap<string, Entry>, prefix: string, changed?: readonly string[]): Reconciliation {
+	const keys = catalogueKeys(prefix);
+	const headRevision = parseHead(view.get(keys.head)?.value);
+	const paths = changed ?? listPaths(accepted, view, keys.sections);
+
+	const newer: VersionedEntry[] = [];
+	const lost: VersionedEntry[] = [];
+	const direct: DirectWrite[] = [];
+	for (const path of paths) {
+		const compared = compareEntry(path, view.get(`${keys.sections}${path}`)?.value, accepted.entries.get(path), {accepted: accepted.revision, head: headRevision});
+		if (compared.newer !== undefined) {
+			newer.push(compared.newer);
+		}
+
+		if (compared.lost !== undefined) {
+			lost.push(compared.lost);
+		}
+
+		if (compared.direct !== undefined) {
+			direct.push(compared.direct);
+		}
+	}
+
+	return {
+		headRevision, newer, lost, direct,
+	};
+}
--- /dev/null
+++ b/packages/core/src/catalogue/retry-edits.ts
@@ -0,0 +1,102 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {editTimeoutMs, storeBackoffBaseMs} from '../constants.js';
+import {type Counter} from '../node/counters.js';
+import {type Effect} from '../node/effect.js';
+import {type Node} from '../node/node.js';
+import {applyEntries} from './apply-entries.js';
+import {buildEdit, createEditedEntry} from './build-edit.js';
+import {catalogueKeys} from './catalogue-keys.js';
+import {type EditResult, type PendingEdit} from './catalogue-state.js';
+import {describeDifference} from './describe-difference.js';
+import {parseHead} from './parse-stored-entry.js';
+
+const resultCounters: Record<EditResult['type'], Counter> = {
+	accepted: 'catalogue.edit-accepted',
+	conflict: 'catalogue.edit-conflict',
+	invalid: 'catalogue.edit-invalid',
+	unavailable: 'catalogue.edit-unresolved',
+	'outcome-unknown': 'catalogue.edit-unresolved',
+};
+
+/**
+ * Ends an edit.
+ *
+ * @param node - the node, updated in place
+ * @param requestId - request identifier of the edit
+ * @param result - its result
+ * @returns the answer and its counter
+ * @example
+ * answerEdit(node, 'edit-1', {type: 'unavailable'});
+ */
+export function answerEdit(node: Node, requestId: string, result: EditResult): Effect[] {
+	node.catalogue.edits.delete(requestId);
+	return [{type: 'count', counter: resultCounters[result.type]}, {type: 'edit-answered', requestId, result}];
+}
+
+function sendEdit(node: Node, pending: PendingEdit, at: number): Effect[] {
+	const {catalogue} = node;
+	const {accepted, view, prefix = ''} = catalogue;
+	const {edit} = pending;
+	if (pending.unresolved === undefined) {
+		const previous = accepted.entries.get(`${edit.section}/${edit.name}`);
+		if (previous !== undefined && (previous.requestId === edit.requestId || previous.earlier.includes(edit.requestId))) {
+			return answerEdit(node, edit.requestId, {type: 'accepted', revision: previous.revision});
+		}
+
+		if (previous !== undefined && previous.revision > edit.baseRevision) {
+			return answerEdit(node, edit.requestId, {
+				type: 'conflict', revision: previous.revision, operator: previous.operator, difference: describeDifference(previous.value, edit.value),
+			});
+		}
+
+		const headRevision = parseHead(view.get(catalogueKeys(prefix).head)?.value);
+		if (!catalogue.listed || headRevision !== accepted.revision) {
+			// The edit is judged against the head; a store behind or ahead of this node is reconciled first.
+			catalogue.listWanted = true;
+			pending.retryAt = at + storeBackoffBaseMs;
+			return [];
+		}
+
+		const entry = createEditedEntry(edit, accepted.revision + 1, previous);
+		const applied = applyEntries(accepted, [entry], entry.revision);
+		if (!applied.ok) {
+			return answerEdit(node, edit.requestId, {type: 'invalid', problems: applied.problems});
+		}
+
+		pending.unresolved = buildEdit(entry, view, prefix);
+		pending.revision = entry.revision;
+		pending.mayBeStored = false;
+	}
+
+	pending.inFlight = true;
+	pending.retryAt = at + storeBackoffBaseMs + uniformInt(node.random, 0, storeBackoffBaseMs);
+	return [{
+		type: 'store-transact', purpose: 'catalogue', id: `edit-${edit.requestId}`, transaction: pending.unresolved,
+	}];
+}
+
+/**
+ * Sends the edits that are due, and ends those that took too long.
+ *
+ * @param node - the node, updated in place
+ * @param at - now, in milliseconds
+ * @returns the transactions and answers
+ * @example
+ * const effects = retryEdits(node, event.at);
+ */
+export function retryEdits(node: Node, at: number): Effect[] {
+	const effects: Effect[] = [];
+	for (const pending of node.catalogue.edits.values()) {
+		if (pending.inFlight) {
+			continue;
+		}
+
+		if (at - pending.startedAt > editTimeoutMs) {
+			effects.push(...answerEdit(node, pending.edit.requestId, {type: pending.mayBeStored ? 'outcome-unknown' : 'unavailable'}));
+		} else if (pending.retryAt <= at) {
+			effects.push(...sendEdit(node, pending, at));
+		}
+	}
+
+	return effects;
+}
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -33,3 +33,35 @@
 
 /** Longest queue per pool and team in one process; longer queues are refused. */
 export const maximumQueuedPerTeam = 1000;
+
+/** Interval between two reads of the catalogue head with which an instance confirms its configuration. */
+export const confirmationIntervalMs = 500;
+
+/** Reads of the catalogue head that all members together may make in a second; the store handles about 2,000 reads. */
+export const maximumConfirmationsPerSecond = 200;
+
+/** Age of a member's last store contact from which the store counts as away for it; shorter than the freshness limit, so that members agree before it passes. */
+export const storeAwayMs = 1000;
+
+/** First and longest pause after a failed store call; each failure doubles the range that the pause is drawn from. */
+export const storeBackoffBaseMs = 200;
+export const storeBackoffLimitMs = 2000;
+
+/** Time over which members spread their attempts to correct the store, for each known member. */
+export const correctionSpreadMs = 50;
+export const correctionSpreadLimitMs = 500;
+
+/** Time that an edit may take before its outcome is reported as it stands. */
+export const editTimeoutMs = 10_000;
+
+/** Entries written by one correcting transaction; etcd refuses more than 128 operations. */
+export const maximumCorrections = 50;
+
+/** Members that a member sends its summary to. */
+export const maximumNeighbours = 8;
+
+/** Digests of other members that a summary relays. */
+export const maximumRelayed = 8;
+
+/** Interval between two summaries in fleets with more members than a member has neighbours. */
+export const largeFleetSummaryIntervalMs = 1000;
--- a/packages/core/src/freshness/confirm-configuration.ts
+++ b/packages/core/src/freshness/confirm-configuration.ts
@@ -12,6 +12,8 @@
  * confirmConfiguration(node, {type: 'configuration-confirmed', at: 10});
  */
 export function confirmConfiguration(node: Node, event: EventOf<'configuration-confirmed'>): Effect[] {
-	node.freshness.confirmedAt = Math.max(node.freshness.confirmedAt, event.at);
+	const {freshness} = node;
+	freshness.confirmedAt = Math.max(freshness.confirmedAt, event.at);
+	freshness.currentAt = Math.max(freshness.currentAt, event.at);
 	return [];
 }
--- a/packages/core/src/freshness/is-fresh.ts
+++ b/packages/core/src/freshness/is-fresh.ts
@@ -11,5 +11,5 @@
  * if (!isFresh(node, at)) refuse('configuration-stale');
  */
 export function isFresh(node: Node, at: number): boolean {
-	return at - node.freshness.confirmedAt <= freshnessLimitMs;
+	return at - node.freshness.currentAt <= freshnessLimitMs;
 }
--- /dev/null
+++ b/packages/core/src/freshness/update-freshness.ts
@@ -0,0 +1,19 @@
+import {type Node} from '../node/node.js';
+import {decideFreshness} from './decide-freshness.js';
+
+/**
+ * Decides again until when the node's configuration is known to be current. Earlier knowledge is
+ * kept: what was current at a time stays so.
+ *
+ * @param node - the node, updated in place
+ * @param at - now, in milliseconds
+ * @example
+ * updateFreshness(node, event.at);
+ */
+export function updateFreshness(node: Node, at: number): void {
+	const {freshness, membership, snapshot} = node;
+	const own = {revision: snapshot.revision, storeContactAt: freshness.confirmedAt};
+	const decision = decideFreshness(own, [...membership.records.keys()], membership.reports, {self: node.id, at});
+	freshness.currentAt = Math.max(freshness.currentAt, decision.currentAt);
+	freshness.awayAt = decision.awayAt;
+}
--- /dev/null
+++ b/packages/core/src/membership/finish-registration.ts
@@ -0,0 +1,30 @@
+import {type Effect} from '../node/effect.js';
+import {type EventOf} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {noteMemberOutcome} from './note-member-outcome.js';
+
+/**
+ * Handles the answer to the registration. One whose answer was lost is repeated; it writes the same record.
+ *
+ * @param node - the node, updated in place
+ * @param event - the answer
+ * @returns the report of the registration
+ * @example
+ * finishRegistration(node, {type: 'store-transacted', at: 5, purpose: 'member', id: 'register', outcome});
+ */
+export function finishRegistration(node: Node, event: EventOf<'store-transacted'>): Effect[] {
+	const {registration} = node.membership;
+	registration.pendingAt = undefined;
+	const effects = noteMemberOutcome(node, event.outcome.ok, event.at);
+	if (!event.outcome.ok) {
+		if (event.outcome.reason === 'invalid') {
+			// The store refuses a record under a lease that it no longer has.
+			registration.leaseId = undefined;
+		}
+
+		return effects;
+	}
+
+	registration.registered = true;
+	return [{type: 'report', report: {type: 'member-registered'}}];
+}
--- /dev/null
+++ b/packages/core/src/membership/list-outstanding-members.ts
@@ -0,0 +1,24 @@
+import {clockDriftMarginMs, freshnessLimitMs} from '../constants.js';
+import {type Node} from '../node/node.js';
+
+/**
+ * Lists the members that may still start work under an older configuration. A member that was not
+ * seen with the revision counts until it must have stopped by the freshness rule.
+ *
+ * @param node - the node
+ * @param revision - the accepted revision
+ * @param options - when the revision was accepted, and now, in milliseconds
+ * @returns identifiers of the members, sorted
+ * @example
+ * const outstanding = listOutstandingMembers(node, 8, {acceptedAt, at});
+ */
+export function listOutstandingMembers(node: Node, revision: number, options: {acceptedAt: number; at: number}): string[] {
+	const {acceptedAt, at} = options;
+	const {records, reports} = node.membership;
+	if (at - acceptedAt > freshnessLimitMs + clockDriftMarginMs) {
+		return [];
+	}
+
+	const others = [...records.keys()].filter(id => id !== node.id);
+	return others.filter(id => (reports.get(id)?.revision ?? 0) < revision).toSorted();
+}
--- /dev/null
+++ b/packages/core/src/membership/receive-member-listing.ts
@@ -0,0 +1,31 @@
+import {type Effect} from '../node/effect.js';
+import {type EventOf} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {noteMemberOutcome} from './note-member-outcome.js';
+import {recordMembers} from './record-members.js';
+
+/**
+ * Handles a listing of the member records. Members that it no longer holds are absent from now on.
+ *
+ * @param node - the node, updated in place
+ * @param event - the listing
+ * @returns the changed peers
+ * @example
+ * receiveMemberListing(node, {type: 'store-listed', at: 5, purpose: 'member', id: 'members', outcome});
+ */
+export function receiveMemberListing(node: Node, event: EventOf<'store-listed'>): Effect[] {
+	const {membership} = node;
+	const {outcome, at} = event;
+	membership.listing = false;
+	const effects = noteMemberOutcome(node, outcome.ok, at);
+	if (!outcome.ok) {
+		return effects;
+	}
+
+	membership.listed = true;
+	membership.viewRevision = outcome.value.revision;
+	const keys = new Set(outcome.value.entries.map(entry => entry.key));
+	const prefix = `${membership.registration.prefix ?? ''}members/`;
+	const missing = [...membership.records.keys()].map(id => `${prefix}${id}`).filter(key => !keys.has(key));
+	return recordMembers(node, [...outcome.value.entries, ...missing.map(key => ({key, modRevision: 0}))], at);
+}
--- a/packages/core/src/membership/receive-message.ts
+++ b/packages/core/src/membership/receive-message.ts
@@ -1,27 +1,67 @@
+import {type VersionedEntry} from '../catalogue/catalogue-state.js';
+import {acceptEntries} from '../catalogue/refresh-catalogue.js';
+import {updateFreshness} from '../freshness/update-freshness.js';
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
 import {type Message, type MessageOf} from './message.js';
+import {recordReport} from './record-report.js';
+import {requestCatalogue} from './request-catalogue.js';
 
 type Handler<Type extends Message['type']> = (node: Node, message: MessageOf<Type>, at: number) => Effect[];
 
 const handlers: {readonly [Type in Message['type']]: Handler<Type>} = {
 	summary(node, summary, at) {
-		const known = node.membership.members.get(summary.member);
+		const {membership} = node;
+		const known = membership.members.get(summary.member);
 		if (known === undefined || known.summary.sequence < summary.sequence) {
-			node.membership.members.set(summary.member, {summary, receivedAt: at});
+			membership.members.set(summary.member, {summary, receivedAt: at});
+			membership.received.set(summary.member, {sequence: summary.sequence, at});
 		}
 
+		recordReport(node, summary);
+		updateFreshness(node, at);
 		return [];
 	},
 	leaving(node, message) {
 		node.membership.members.delete(message.member);
+		node.membership.received.delete(message.member);
 		return [];
 	},
+	'catalogue-request'(node, message) {
+		const {accepted} = node.catalogue;
+		if (accepted.revision <= message.revision) {
+			return [];
+		}
+
+		const entries: VersionedEntry[] = [];
+		for (const entry of accepted.entries.values()) {
+			if (entry.revision > message.revision) {
+				entries.push(entry);
+			}
+		}
+
+		return [{
+			type: 'peer-send', to: message.member, message: {
+				type: 'catalogue-response', member: node.id, revision: accepted.revision, since: message.revision, entries: entries.map(entry => ({...entry, earlier: [...entry.earlier]})),
+			},
+		}];
+	},
+	'catalogue-response'(node, message) {
+		const {catalogue} = node;
+		if (catalogue.accepted.revision < message.since || catalogue.prefix === undefined) {
+			return [];
+		}
+
+		const before = catalogue.accepted.revision;
+		const effects = acceptEntries(node, message.entries, message.revision);
+		return catalogue.accepted.revision > before ? [{type: 'count', counter: 'catalogue.from-peer'}, ...effects] : effects;
+	},
 };
 
 /**
- * Handles a message of another member; duplicated and late summaries are ignored.
+ * Handles a message of another member; duplicated and late summaries are ignored. A higher
+ * revision in any message is requested.
  *
  * @param node - the node, updated in place
  * @param event - the message
@@ -30,5 +70,7 @@
  * receiveMessage(node, {type: 'peer-received', at: 0, from: 'entry-2', message});
  */
 export function receiveMessage(node: Node, event: EventOf<'peer-received'>): Effect[] {
-	return (handlers[event.message.type] as Handler<Message['type']>)(node, event.message, event.at);
+	const {message, at} = event;
+	const effects = (handlers[message.type] as Handler<Message['type']>)(node, message, at);
+	return [...effects, ...requestCatalogue(node, {from: message.member, revision: message.revision}, at)];
 }
--- /dev/null
+++ b/packages/core/src/membership/record-members.ts
@@ -0,0 +1,53 @@
+import {type Effect} from '../node/effect.js';
+import {type Node} from '../node/node.js';
+import {type Change} from '../store/transaction.js';
+import {chooseNeighbours} from './choose-neighbours.js';
+import {memberRecordSchema} from './format-member.js';
+import {type MemberRecord} from './membership.js';
+
+function parseRecord(id: string, text: string): MemberRecord | undefined {
+	try {
+		const parsed = memberRecordSchema.safeParse(JSON.parse(text));
+		return parsed.success ? {id, ...parsed.data} : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+/**
+ * Applies changes of the member records, and tells the host which members to keep connections with.
+ *
+ * @param node - the node, updated in place
+ * @param changes - the changes; one without a value is a record that is gone
+ * @param at - now, in milliseconds
+ * @returns `peers-changed` when the neighbours or their addresses changed
+ * @example
+ * const effects = recordMembers(node, [{key: 'rosemaryquay/members/entry-2', modRevision: 9}], at);
+ */
+export function recordMembers(node: Node, changes: ReadonlyArray<Pick<Change, 'key' | 'value'>>, at: number): Effect[] {
+	const {membership} = node;
+	const {records, absentSince, registration} = membership;
+	const prefix = `${registration.prefix ?? ''}members/`;
+	const before = JSON.stringify(membership.peers.map(id => records.get(id)));
+	for (const {key, value} of changes) {
+		const id = key.slice(prefix.length);
+		const record = value === undefined ? undefined : parseRecord(id, value);
+		if (record === undefined) {
+			if (records.delete(id)) {
+				absentSince.set(id, at);
+				membership.members.delete(id);
+				membership.reports.delete(id);
+				membership.received.delete(id);
+			}
+		} else {
+			records.set(id, record);
+			absentSince.delete(id);
+		}
+	}
+
+	membership.peers = chooseNeighbours(node, [...records.values()]);
+	const peers = membership.peers.map(id => records.get(id)).filter(record => record !== undefined);
+	return JSON.stringify(peers) === before
+		? []
+		: [{type: 'peers-changed', peers: peers.map(({id, address, zone}) => ({id, address, zone}))}];
+}
--- a/packages/core/src/membership/record-peers.ts
+++ b/packages/core/src/membership/record-peers.ts
@@ -12,6 +12,11 @@
  * recordPeers(node, {type: 'peers-listed', at: 0, members: ['entry-1', 'entry-2']});
  */
 export function recordPeers(node: Node, event: EventOf<'peers-listed'>): Effect[] {
+	// Once the records in the store are known, the neighbours follow from them.
+	if (node.membership.records.size > 0) {
+		return [];
+	}
+
 	node.membership.peers = event.members.filter(member => member !== node.id);
 	return [];
 }
--- /dev/null
+++ b/packages/core/src/membership/record-report.ts
@@ -0,0 +1,42 @@
+import {type Node} from '../node/node.js';
+import {type Summary} from './message.js';
+
+function record(node: Node, member: string, report: {sequence: number; revision: number; reportedAt: number; contactAgeMs: number}): void {
+	const {reports, records} = node.membership;
+	const known = reports.get(member);
+	const {sequence, revision, reportedAt, contactAgeMs} = report;
+	if (member === node.id || !records.has(member) || (known !== undefined && (known.sequence > sequence || (known.sequence === sequence && known.reportedAt >= reportedAt)))) {
+		return;
+	}
+
+	reports.set(member, {
+		sequence, revision, reportedAt, storeContactAt: reportedAt - contactAgeMs,
+	});
+}
+
+/**
+ * Records what a summary tells of its sender and of the members whose digests it relays. The echo
+ * of the node's own summary dates it: the sender sent it after it had received the echoed one, so neither a message that
+ * waited during a pause nor a late one can make old knowledge look recent.
+ *
+ * @param node - the node, updated in place
+ * @param summary - the summary
+ * @example
+ * recordReport(node, summary);
+ */
+export function recordReport(node: Node, summary: Summary): void {
+	const {echo, relayed = [], member, sequence, revision, storeContactAgeMs = Number.POSITIVE_INFINITY} = summary;
+	const echoedAt = echo === undefined ? undefined : node.membership.sent.get(echo.sequence);
+	const sentAt = echo === undefined || echoedAt === undefined ? Number.NEGATIVE_INFINITY : echoedAt + echo.heldMs;
+	record(node, member, {
+		sequence, revision, reportedAt: sentAt, contactAgeMs: Number.isFinite(sentAt) ? storeContactAgeMs : 0,
+	});
+	for (const digest of relayed) {
+		record(node, digest.member, {
+			sequence: digest.sequence,
+			revision: digest.revision,
+			reportedAt: sentAt - digest.ageMs,
+			contactAgeMs: Number.isFinite(sentAt) ? digest.storeContactAgeMs ?? Number.POSITIVE_INFINITY : 0,
+		});
+	}
+}
--- a/packages/core/src/membership/send-summary.ts
+++ b/packages/core/src/membership/send-summary.ts
@@ -1,35 +1,84 @@
-import {summaryIntervalMs} from '../constants.js';
+import {
+	largeFleetSummaryIntervalMs, maximumNeighbours, maximumRelayed, summaryIntervalMs, summaryRetentionMs,
+} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
 import {describeDemand} from '../shares/describe-demand.js';
-import {type Summary} from './message.js';
+import {type Digest, type Summary} from './message.js';
+
+/** Digests of members that are not neighbours; successive summaries take them in turn. */
+function listDigests(node: Node, at: number): Digest[] {
+	const {membership} = node;
+	if (membership.records.size <= maximumNeighbours + 1) {
+		return [];
+	}
+
+	const known = [...membership.reports].filter(([, report]) => at - report.reportedAt <= summaryRetentionMs);
+	const digests: Digest[] = [];
+	const first = membership.relayed;
+	for (let step = 0; step < Math.min(maximumRelayed, known.length); step++) {
+		const element = known[(first + step) % known.length];
+		if (element !== undefined) {
+			const [member, {sequence, revision, reportedAt, storeContactAt}] = element;
+			digests.push({
+				member, sequence, revision, ageMs: Math.max(0, at - reportedAt), ...(Number.isFinite(storeContactAt) && {storeContactAgeMs: Math.max(0, reportedAt - storeContactAt)}),
+			});
+		}
+	}
+
+	membership.relayed = known.length === 0 ? 0 : (first + maximumRelayed) % known.length;
+	return digests;
+}
+
+function recordSent(node: Node, at: number): void {
+	const {membership} = node;
+	membership.sentAt = at;
+	membership.sentRevision = node.snapshot.revision;
+	membership.sequence += 1;
+	membership.sent.set(membership.sequence, at);
+	for (const [sequence, sentAt] of membership.sent) {
+		if (at - sentAt <= summaryRetentionMs) {
+			break;
+		}
+
+		membership.sent.delete(sequence);
+	}
+}
 
 /**
- * Sends the node's summary to its peers when the interval has passed.
+ * Sends the node's summary to its neighbours when the interval has passed, and at once when its
+ * revision has grown.
  *
  * @param node - the node, updated in place
  * @param event - the tick
- * @returns one `peer-send` for each peer
+ * @returns one `peer-send` for each neighbour
  * @example
  * sendSummary(node, {type: 'tick', at: 300});
  */
 export function sendSummary(node: Node, event: EventOf<'tick'>): Effect[] {
-	const {membership, freshness} = node;
-	if (event.at - membership.sentAt < summaryIntervalMs) {
+	const {membership, freshness, snapshot} = node;
+	const {at} = event;
+	const interval = membership.records.size > maximumNeighbours + 1 ? largeFleetSummaryIntervalMs : summaryIntervalMs;
+	if (at - membership.sentAt < interval && snapshot.revision === membership.sentRevision) {
 		return [];
 	}
 
-	membership.sentAt = event.at;
-	membership.sequence += 1;
-	const message: Summary = {
+	recordSent(node, at);
+	const relayed = listDigests(node, at);
+	const summary: Summary = {
 		type: 'summary',
 		member: node.id,
 		zone: node.zone,
 		sequence: membership.sequence,
-		revision: node.snapshot.revision,
-		...(Number.isFinite(freshness.confirmedAt) && {storeContactAgeMs: Math.max(0, event.at - freshness.confirmedAt)}),
+		revision: snapshot.revision,
+		...(Number.isFinite(freshness.confirmedAt) && {storeContactAgeMs: Math.max(0, at - freshness.confirmedAt)}),
 		demand: describeDemand(node),
+		...(relayed.length > 0 && {relayed}),
 	};
-	return membership.peers.map(to => ({type: 'peer-send', to, message}));
+	return membership.peers.map(to => {
+		const received = membership.received.get(to);
+		const message = received === undefined ? summary : {...summary, echo: {sequence: received.sequence, heldMs: Math.max(0, at - received.at)}};
+		return {type: 'peer-send', to, message};
+	});
 }
--- a/packages/core/src/node/counters.ts
+++ b/packages/core/src/node/counters.ts
@@ -9,6 +9,16 @@
 	'retry.not-started': 'Retries after an attempt that did not start',
 	'retry.failed': 'Retries after a worker reported a failure',
 	'retry.lost': 'Retries after a connection to a worker was lost',
+	'catalogue.edit-accepted': 'Edits of the catalogue that were stored',
+	'catalogue.edit-conflict': 'Edits refused because the entry had changed',
+	'catalogue.edit-invalid': 'Edits refused because the catalogue would be invalid',
+	'catalogue.edit-unresolved': 'Edits that ended without an answer of the store',
+	'catalogue.invalid': 'Catalogue revisions refused as a whole',
+	'catalogue.corrected': 'Transactions that adopted or rejected direct writes or restored lost entries',
+	'catalogue.from-peer': 'Catalogue revisions that came from another member',
+	'catalogue.relisted': 'Listings of the whole catalogue after the first',
+	'member.lease-lost': 'Leases of the member record that lapsed',
+	'store.call-failed': 'Store calls of the catalogue and the membership that failed',
 } as const;
 
 export type Counter = keyof typeof counters;
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -1,6 +1,8 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createCatalogueState} from '../catalogue/create-catalogue-state.js';
 import {createSnapshot} from '../catalogue/create-snapshot.js';
 import {catalogueSchema} from '../catalogue/schema.js';
+import {createMembership} from '../membership/create-membership.js';
 import {type Node} from './node.js';
 
 /**
@@ -24,9 +26,8 @@
 		limits: {running: new Map()},
 		shares: {pools: new Map()},
 		placement: {workers: new Map(), byPool: new Map()},
-		freshness: {confirmedAt: Number.NEGATIVE_INFINITY},
-		membership: {
-			peers: [], members: new Map(), sequence: 0, sentAt: Number.NEGATIVE_INFINITY,
-		},
+		freshness: {confirmedAt: Number.NEGATIVE_INFINITY, currentAt: Number.NEGATIVE_INFINITY, awayAt: Number.NEGATIVE_INFINITY},
+		membership: createMembership(),
+		catalogue: createCatalogueState(),
 	};
 }
--- a/packages/core/src/node/effect.ts
+++ b/packages/core/src/node/effect.ts
@@ -1,11 +1,23 @@
 /**
  * Effects: what the reducer asks its host to do, as data.
  */
+import {type EditResult} from '../catalogue/catalogue-state.js';
+import {type Problem} from '../catalogue/list-problems.js';
 import {type Message} from '../membership/message.js';
 import {type Refusal} from '../refusal.js';
 import {type Transaction} from '../store/transaction.js';
 import {type Counter} from './counters.js';
-import {type Purpose} from './event.js';
+import {type LeaseOperation, type Purpose} from './event.js';
+
+/** A neighbour and where it is reached. */
+export type Peer = {readonly id: string; readonly address: string; readonly zone: string};
+
+/** Changes of state that operators see in the log. */
+export type Report =
+	| {readonly type: 'catalogue-loaded'; readonly revision: number}
+	| {readonly type: 'catalogue-invalid'; readonly revision: number; readonly problems: readonly Problem[]}
+	| {readonly type: 'catalogue-corrected'; readonly adopted: number; readonly rejected: number; readonly restored: number}
+	| {readonly type: 'store-unavailable' | 'store-available' | 'member-registered' | 'member-lease-lost'};
 
 export type Effect =
 	/** Sends the task's request to a worker; ends with `attempt-finished`. */
@@ -18,6 +30,16 @@
 	| {readonly type: 'store-transact'; readonly purpose: Purpose; readonly id: string; readonly transaction: Transaction}
 	/** Ends with `store-listed` for the same purpose and identifier. */
 	| {readonly type: 'store-list'; readonly purpose: Purpose; readonly id: string; readonly prefix: string}
+	/** Follows changes below a prefix; reports `store-watched` until the watch is over. */
+	| {readonly type: 'store-watch'; readonly purpose: Purpose; readonly id: string; readonly prefix: string; readonly fromRevision: number}
+	/** Ends with `store-leased`; `leaseId` is absent for `grant`. */
+	| {readonly type: 'store-lease'; readonly purpose: Purpose; readonly id: string; readonly operation: LeaseOperation; readonly leaseId: string; readonly ttlMs: number}
+	/** The outcome of an operator's edit. */
+	| {readonly type: 'edit-answered'; readonly requestId: string; readonly result: EditResult}
+	/** The members to keep connections with. */
+	| {readonly type: 'peers-changed'; readonly peers: readonly Peer[]}
+	/** A message for the operators, in the catalogue of log events. */
+	| {readonly type: 'report'; readonly report: Report}
 	/** Sends a message to another member; it may be lost, late or duplicated. */
 	| {readonly type: 'peer-send'; readonly to: string; readonly message: Message}
 	| {readonly type: 'count'; readonly counter: Counter}
--- a/packages/core/src/node/event.ts
+++ b/packages/core/src/node/event.ts
@@ -2,9 +2,12 @@
  * Events: everything that can happen to a node. Each carries `at`, milliseconds on the
  * process's monotonic clock; the reducer has no clock of its own.
  */
+import {type Edit} from '../catalogue/catalogue-state.js';
 import {type Snapshot} from '../catalogue/create-snapshot.js';
 import {type Message} from '../membership/message.js';
-import {type Listing, type StoreOutcome, type TransactionResult} from '../store/transaction.js';
+import {
+	type Change, type Listing, type StoreOutcome, type TransactionResult,
+} from '../store/transaction.js';
 
 /** A request as the HTTP server read it. */
 export type Arrival = {
@@ -50,7 +53,19 @@
 /** Part of the node that a store answer belongs to. */
 export type Purpose = 'claim' | 'portion' | 'member' | 'catalogue' | 'fleet';
 
+export type LeaseOperation = 'grant' | 'renew' | 'revoke';
+
+/** What a watch of the store reports. After anything but `changed` the watch is over. */
+export type WatchReport =
+	| {readonly type: 'changed'; readonly changes: readonly Change[]; readonly revision: number}
+	| {readonly type: 'compacted' | 'ended' | 'restored'};
+
 export type Event =
+	/** The process runs and may use the store; `address` is where other members reach it. */
+	| {readonly type: 'process-started'; readonly at: number; readonly address: string; readonly incarnation: number; readonly prefix: string}
+	| {readonly type: 'edit-requested'; readonly at: number; readonly edit: Edit}
+	| {readonly type: 'store-watched'; readonly at: number; readonly purpose: Purpose; readonly id: string; readonly report: WatchReport}
+	| {readonly type: 'store-leased'; readonly at: number; readonly purpose: Purpose; readonly id: string; readonly operation: LeaseOperation; readonly outcome: StoreOutcome<{readonly leaseId: string; readonly ttlMs: number}>}
 	| {readonly type: 'request-arrived'; readonly at: number; readonly arrival: Arrival}
 	| {readonly type: 'request-cancelled'; readonly at: number; readonly taskId: string}
 	| {readonly type: 'attempt-finished'; readonly at: number; readonly attemptId: string; readonly outcome: AttemptOutcome}
--- a/packages/core/src/node/node.ts
+++ b/packages/core/src/node/node.ts
@@ -3,6 +3,7 @@
  * written only by the handlers of the folder that it is named after.
  */
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type CatalogueState} from '../catalogue/catalogue-state.js';
 import {type Snapshot} from '../catalogue/create-snapshot.js';
 import {type WorkClass} from '../catalogue/schema.js';
 import {type Limits} from '../limits/limits.js';
@@ -44,9 +45,14 @@
 	shutdownReported: boolean;
 };
 
-/** When the configuration was last confirmed to be current. */
+/** Latest times, on the node's own clock, at which the configuration is known to have been current. */
 export type Freshness = {
+	/** By the node's own store contact. */
 	confirmedAt: number;
+	/** By any of the rules. */
+	currentAt: number;
+	/** When a majority of the last known members reported that the store is away for all. */
+	awayAt: number;
 };
 
 export type Node = {
@@ -60,4 +66,5 @@
 	readonly placement: Placement;
 	readonly freshness: Freshness;
 	readonly membership: Membership;
+	readonly catalogue: CatalogueState;
 };
--- a/packages/core/src/node/reduce.ts
+++ b/packages/core/src/node/reduce.ts
@@ -1,8 +1,20 @@
+import {editCatalogue} from '../catalogue/edit-catalogue.js';
+import {finishCatalogueTransaction} from '../catalogue/finish-catalogue-transaction.js';
 import {loadCatalogue} from '../catalogue/load-catalogue.js';
+import {receiveCatalogueListing} from '../catalogue/receive-catalogue-listing.js';
+import {receiveCatalogueReport} from '../catalogue/receive-catalogue-report.js';
+import {startCatalogue} from '../catalogue/start-catalogue.js';
+import {tickCatalogue} from '../catalogue/tick-catalogue.js';
 import {confirmConfiguration} from '../freshness/confirm-configuration.js';
+import {finishRegistration} from '../membership/finish-registration.js';
+import {receiveLease} from '../membership/receive-lease.js';
+import {receiveMemberListing} from '../membership/receive-member-listing.js';
+import {receiveMemberReport} from '../membership/receive-member-report.js';
 import {receiveMessage} from '../membership/receive-message.js';
 import {recordPeers} from '../membership/record-peers.js';
 import {sendSummary} from '../membership/send-summary.js';
+import {startMembership} from '../membership/start-membership.js';
+import {tickMembership} from '../membership/tick-membership.js';
 import {recordInstances} from '../placement/record-instances.js';
 import {recordUsage} from '../placement/record-usage.js';
 import {admitRequest} from '../tasks/admit-request.js';
@@ -17,9 +29,24 @@
 type Handler<Type extends Event['type']> = (node: Node, event: EventOf<Type>) => Effect[];
 
 /** Handlers of store answers by the part that asked. */
-const transactionHandlers: Partial<Record<Purpose, Handler<'store-transacted'>>> = {};
+const transactionHandlers: Partial<Record<Purpose, Handler<'store-transacted'>>> = {
+	catalogue: finishCatalogueTransaction,
+	member: finishRegistration,
+};
+
+const listingHandlers: Partial<Record<Purpose, Handler<'store-listed'>>> = {
+	catalogue: receiveCatalogueListing,
+	member: receiveMemberListing,
+};
 
-const listingHandlers: Partial<Record<Purpose, Handler<'store-listed'>>> = {};
+const watchHandlers: Partial<Record<Purpose, Handler<'store-watched'>>> = {
+	catalogue: receiveCatalogueReport,
+	member: receiveMemberReport,
+};
+
+const leaseHandlers: Partial<Record<Purpose, Handler<'store-leased'>>> = {
+	member: receiveLease,
+};
 
 /** Handlers of each event, run in order. */
 const handlers: {readonly [Type in Event['type']]: ReadonlyArray<Handler<Type>>} = {
@@ -30,11 +57,15 @@
 	'configuration-confirmed': [confirmConfiguration],
 	'store-transacted': [(node, event) => transactionHandlers[event.purpose]?.(node, event) ?? []],
 	'store-listed': [(node, event) => listingHandlers[event.purpose]?.(node, event) ?? []],
+	'store-watched': [(node, event) => watchHandlers[event.purpose]?.(node, event) ?? []],
+	'store-leased': [(node, event) => leaseHandlers[event.purpose]?.(node, event) ?? []],
+	'process-started': [startCatalogue, startMembership],
+	'edit-requested': [editCatalogue],
 	'instances-listed': [recordInstances],
 	'usage-reported': [recordUsage],
 	'peers-listed': [recordPeers],
 	'peer-received': [receiveMessage],
-	tick: [tickTasks, sendSummary],
+	tick: [tickCatalogue, tickMembership, tickTasks, sendSummary],
 	'shutdown-requested': [beginShutdown],
 };
 
--- a/packages/daemon/src/catalogue-reader.ts
+++ b/packages/daemon/src/catalogue-reader.ts
@@ -1,81 +1,34 @@
 /**
- * Keeps the node's catalogue current by listing the store.
+ * Waits until the reducer has the catalogue. Reading and watching the store is decided by the reducer;
+ * this only tells the start of the daemon when the first answer is in.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {createSnapshot} from '@rosemaryquay/core/catalogue/create-snapshot';
-import {parseCatalogue} from '@rosemaryquay/core/catalogue/parse-catalogue';
-import {type Entry} from '@rosemaryquay/core/store/transaction';
-import {type Host} from './host.js';
+import {isFresh} from '@rosemaryquay/core/freshness/is-fresh';
+import {type Node} from '@rosemaryquay/core/node/node';
 
-const pollIntervalMs = 500;
-
-function readDocument(entries: readonly Entry[], prefix: string): {document: Record<string, Record<string, unknown>>; revision: number} {
-	const document: Record<string, Record<string, unknown>> = {};
-	let revision = 0;
-	for (const entry of entries) {
-		const [section = '', name = ''] = entry.key.slice(prefix.length).split('/');
-		document[section] ??= {};
-		document[section][name] = JSON.parse(entry.value);
-		revision = Math.max(revision, entry.modRevision);
-	}
-
-	return {document, revision};
-}
+const pollIntervalMs = 5;
 
 export class CatalogueReader {
-	readonly #host: Host;
-	readonly #abort = new AbortController();
-	#revision = 0;
-	#available = true;
-
-	constructor(options: {host: Host}) {
-		this.#host = options.host;
-	}
-
-	async run(): Promise<void> {
-		while (!this.#abort.signal.aborted) {
-			await this.refresh();
-			await delay(pollIntervalMs, undefined, {signal: this.#abort.signal}).catch(() => undefined);
-		}
-	}
-
-	async refresh(): Promise<void> {
-		const {store, logger, prefix} = this.#host;
-		const sections = `${prefix}catalogue/sections/`;
-		const sentAt = this.#host.now();
-		const outcome = await store.list(sections);
-		if (outcome.ok !== this.#available) {
-			this.#available = outcome.ok;
-			logger.log(outcome.ok ? 'store-available' : 'store-unavailable');
-		}
-
-		if (!outcome.ok) {
-			return;
-		}
-
-		this.#load(outcome.value.entries, sections);
-		this.#host.dispatch({type: 'configuration-confirmed', at: sentAt});
-	}
+	readonly #node: Node;
+	readonly #now: () => number;
 
-	stop(): void {
-		this.#abort.abort();
+	constructor(options: {node: Node; now: () => number}) {
+		this.#node = options.node;
+		this.#now = options.now;
 	}
 
-	#load(entries: readonly Entry[], sections: string): void {
-		const {logger} = this.#host;
-		const {document, revision} = readDocument(entries, sections);
-		if (revision <= this.#revision) {
-			return;
-		}
+	/** Resolves once the configuration is in force and no correction of the store is due, or after `timeoutMs`. */
+	async ready(timeoutMs: number): Promise<boolean> {
+		const until = this.#now() + timeoutMs;
+		while (this.#now() < until) {
+			const {catalogue} = this.#node;
+			if (isFresh(this.#node, this.#now()) && catalogue.correctAt === undefined && catalogue.correcting === undefined && !catalogue.listing) {
+				return true;
+			}
 
-		this.#revision = revision;
-		const parsed = parseCatalogue(document);
-		if (!parsed.ok) {
-			logger.log('catalogue-invalid', {problems: parsed.problems});
-			return;
+			await delay(pollIntervalMs);
 		}
 
-		this.#host.dispatch({type: 'catalogue-loaded', at: this.#host.now(), snapshot: createSnapshot(parsed.catalogue, revision)});
-		logger.log('catalogue-loaded', {revision});
+		return false;
 	}
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -22,11 +22,16 @@
 /** Renewals of a task lease within its time to live. */
 const renewalsPerLease = 3;
 
+/** Time that the start waits for the catalogue before callers are let in; until it is there they are refused. */
+const catalogueTimeoutMs = 3000;
+
 export class Daemon {
 	readonly metrics: Metrics;
 	readonly #settings: Settings;
 	readonly #logger: Logger;
 	readonly #node;
+	readonly #incarnation: number;
+	readonly #member: string;
 	readonly #host: Host;
 	readonly #server: Server;
 	readonly #instanceList: InstanceList;
@@ -39,10 +44,13 @@
 		this.#settings = settings;
 		this.#logger = logger;
 		this.metrics = createMetrics(settings.metrics);
-		this.#node = createNode({id: settings.instance, zone: settings.zone, seed: Date.now() % 0x7F_FF_FF_FF});
+		// A restarted process never claims the portions or leases of its predecessor.
+		this.#incarnation = Date.now();
+		this.#member = `${settings.instance}-${this.#incarnation.toString(36)}`;
+		this.#node = createNode({id: this.#member, zone: settings.zone, seed: Date.now() % 0x7F_FF_FF_FF});
 		this.#host = this.#createHost();
 		this.#instanceList = new InstanceList({url: settings.instanceList.url});
-		this.#catalogueReader = new CatalogueReader({host: this.#host});
+		this.#catalogueReader = new CatalogueReader({node: this.#node, now: () => this.#host.now()});
 		const router = createRouter(this.#host, this.#node);
 		this.#server = createServer({maxHeaderSize: settings.limits.headerBytes}, (request, response) => {
 			router.lookup(request, response);
@@ -57,18 +65,21 @@
 
 	async start(): Promise<void> {
 		const {http} = this.#settings;
-		await this.#catalogueReader.refresh();
+		const {store, peer} = this.#settings;
+		this.#dispatch({
+			type: 'process-started', at: this.#host.now(), address: peer === undefined ? '' : `${peer.host}:${peer.port}`, incarnation: this.#incarnation, prefix: store.prefix,
+		});
+		void this.#repeat(tickIntervalMs, async () => {
+			this.#dispatch({type: 'tick', at: this.#host.now()});
+		});
+		await this.#catalogueReader.ready(catalogueTimeoutMs);
 		await this.#refreshInstances();
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen(http.port, http.host, resolve);
 		});
-		void this.#catalogueReader.run();
 		void this.#repeat(this.#settings.instanceList.intervalMs, async () => this.#refreshInstances());
 		void this.#repeat(taskLeaseTtlMs / renewalsPerLease, async () => this.#renewLeases());
-		void this.#repeat(tickIntervalMs, async () => {
-			this.#dispatch({type: 'tick', at: this.#host.now()});
-		});
 		this.#logger.log('process-started', {url: this.url, zone: this.#settings.zone});
 	}
 
@@ -89,7 +100,10 @@
 	/** Ends at once. */
 	async close(): Promise<void> {
 		this.#abort.abort();
-		this.#catalogueReader.stop();
+		for (const stop of this.#host.watches.values()) {
+			stop();
+		}
+
 		const closed = new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
@@ -103,12 +117,13 @@
 	}
 
 	#createHost(): Host {
-		const {instance, store, limits} = this.#settings;
+		const {store, limits} = this.#settings;
 		return {
 			exchanges: new Map(),
 			flights: new Map(),
 			answers: new Map(),
-			workers: new WorkerClient({holder: instance, answerBytes: limits.answerBytes}),
+			watches: new Map(),
+			workers: new WorkerClient({holder: this.#member, answerBytes: limits.answerBytes}),
 			store: new EtcdStore({url: store.url}),
 			prefix: store.prefix,
 			metrics: this.metrics,
@@ -120,6 +135,12 @@
 			sendToPeer() {
 				// Connections to peers are not made yet; the node has no peers.
 			},
+			keepPeers() {
+				// Connections to peers are not made yet.
+			},
+			answerEdit() {
+				// The operator interface is not served yet.
+			},
 			shutdownFinished: () => {
 				this.#finishShutdown?.();
 			},
--- a/packages/daemon/src/host.ts
+++ b/packages/daemon/src/host.ts
@@ -2,7 +2,9 @@
  * What the performers of effects share: the callers' exchanges, the running attempts and the clients.
  */
 import {type ServerResponse} from 'node:http';
+import {type EditResult} from '@rosemaryquay/core/catalogue/catalogue-state';
 import {type Message} from '@rosemaryquay/core/membership/message';
+import {type Peer} from '@rosemaryquay/core/node/effect';
 import {type Event} from '@rosemaryquay/core/node/event';
 import {type Store} from '@rosemaryquay/platform/store';
 import {type Metrics} from './create-metrics.js';
@@ -27,6 +29,8 @@
 	readonly flights: Map<string, Flight>;
 	/** Answers of attempts until the reducer has decided what becomes of them. */
 	readonly answers: Map<string, Answer>;
+	/** Functions that end the watches of the store, by purpose and identifier. */
+	readonly watches: Map<string, () => void>;
 	readonly workers: WorkerClient;
 	readonly store: Store;
 	/** Prefix of the system's keys in the store. */
@@ -39,5 +43,9 @@
 	now(): number;
 	/** Sends a message to another member; without a connection it is dropped. */
 	sendToPeer(to: string, message: Message): void;
+	/** Keeps connections with these members and no others. */
+	keepPeers(peers: readonly Peer[]): void;
+	/** Ends an operator's edit. */
+	answerEdit(requestId: string, result: EditResult): void;
 	shutdownFinished(): void;
 };
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -48,6 +48,15 @@
 	'instance-list-unavailable': {
 		number: 304, level: 'warn', text: 'The instance list does not answer', action: 'Check the platform; the last list stays in use.',
 	},
+	'catalogue-corrected': {
+		number: 305, level: 'warn', text: 'The store was corrected: direct writes adopted or rejected, lost entries restored', action: 'See docs/operations/control-state.md.',
+	},
+	'member-registered': {
+		number: 306, level: 'info', text: 'The member record is in the store', action: 'None.',
+	},
+	'member-lease-lost': {
+		number: 307, level: 'warn', text: 'The lease of the member record lapsed; the member registers again', action: 'Check for long pauses of the process and for a slow store.',
+	},
 } as const satisfies Record<string, {number: number; level: Level; text: string; action: string}>;
 
 export type LogEvent = keyof typeof logEvents;
--- a/packages/daemon/src/perform-effect.ts
+++ b/packages/daemon/src/perform-effect.ts
@@ -2,10 +2,12 @@
 import {type Host} from './host.js';
 import {answerRequest} from './performers/answer-request.js';
 import {cancelAttempt} from './performers/cancel-attempt.js';
+import {callLease} from './performers/call-lease.js';
 import {listStore} from './performers/list-store.js';
 import {refuseRequest} from './performers/refuse-request.js';
 import {startAttempt} from './performers/start-attempt.js';
 import {transactStore} from './performers/transact-store.js';
+import {watchStore} from './performers/watch-store.js';
 
 type Performer<Type extends Effect['type']> = (host: Host, effect: EffectOf<Type>) => void | Promise<void>;
 
@@ -16,6 +18,17 @@
 	refuse: refuseRequest,
 	'store-transact': transactStore,
 	'store-list': listStore,
+	'store-watch': watchStore,
+	'store-lease': callLease,
+	'edit-answered'(host, {requestId, result}) {
+		host.answerEdit(requestId, result);
+	},
+	'peers-changed'(host, {peers}) {
+		host.keepPeers(peers);
+	},
+	report(host, {report: {type, ...fields}}) {
+		host.logger.log(type, fields);
+	},
 	'peer-send'(host, {to, message}) {
 		host.sendToPeer(to, message);
 	},
--- a/packages/measure/src/pump.ts
+++ b/packages/measure/src/pump.ts
@@ -5,6 +5,7 @@
 import {Heap} from 'heap-js';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type EditResult} from '@rosemaryquay/core/catalogue/catalogue-state';
 import {taskLeaseTtlMs, tickIntervalMs} from '@rosemaryquay/core/constants';
 import {type Effect, type EffectOf} from '@rosemaryquay/core/node/effect';
 import {type AttemptOutcome, type Event} from '@rosemaryquay/core/node/event';
@@ -12,6 +13,7 @@
 import {reduce} from '@rosemaryquay/core/node/reduce';
 import {type Refusal} from '@rosemaryquay/core/refusal';
 import {StoreModel} from '@rosemaryquay/testing/store-model';
+import {StoreDriver} from './store-driver.js';
 
 /** An event before the pump gives it its time. */
 export type UntimedEvent = Event extends infer Member ? (Member extends Event ? Omit<Member, 'at'> : never) : never;
@@ -89,6 +91,23 @@
 			type: 'store-listed', purpose, id, outcome,
 		}));
 	},
+	'store-watch'(pump, node, {purpose, id, prefix, fromRevision}) {
+		pump.storeDriver.watch(node.id, {
+			purpose, id, prefix, fromRevision,
+		});
+	},
+	'store-lease'(pump, node, effect) {
+		pump.storeDriver.callLease(node.id, effect);
+	},
+	'edit-answered'(pump, _node, {requestId, result}) {
+		pump.edits.set(requestId, {at: pump.now, result});
+	},
+	'peers-changed'() {
+		// Members reach each other without connections here.
+	},
+	report() {
+		// Reports are for logs.
+	},
 	'peer-send'(pump, node, {to, message}) {
 		pump.send(to, {type: 'peer-received', from: node.id, message});
 	},
@@ -110,9 +129,12 @@
 	readonly trace: TraceEntry[] = [];
 	readonly counters = new Map<string, number>();
 	storeCalls = 0;
+	/** Answers to operators' edits by request identifier. */
+	readonly edits = new Map<string, {readonly at: number; readonly result: EditResult}>();
 	/** Changed at any time by scheduled actions. */
 	storeCondition: StoreCondition = {};
 	delivery: Delivery;
+	readonly storeDriver = new StoreDriver(this);
 	readonly workerDelayMs: number;
 	readonly nodes = new Map<string, Node>();
 	readonly #random;
@@ -190,7 +212,7 @@
 				continue;
 			}
 
-			this.after(this.#delay(), () => {
+			this.after(this.networkDelay(), () => {
 				this.deliver(nodeId, event);
 			});
 		}
@@ -199,9 +221,11 @@
 	/** Runs a store call and delivers its outcome. */
 	callStore<Value>(nodeId: string, call: () => Value, toEvent: (outcome: CallOutcome<Value>) => UntimedEvent): void {
 		this.storeCalls += 1;
-		this.after(this.#delay() + (this.storeCondition.delayMs ?? 0), () => {
-			if (this.storeCondition.down === true) {
-				this.after(this.#delay(), () => {
+		this.storeDriver.update();
+		this.after(this.networkDelay() + (this.storeCondition.delayMs ?? 0), () => {
+			this.storeDriver.update();
+			if (!this.reachesStore(nodeId)) {
+				this.after(this.networkDelay(), () => {
 					this.deliver(nodeId, toEvent({ok: false, reason: 'unavailable'}));
 				});
 				return;
@@ -209,12 +233,17 @@
 
 			const value = call();
 			const lost = this.chance(this.storeCondition.loseAnswers ?? 0);
-			this.after(this.#delay(), () => {
+			this.after(this.networkDelay(), () => {
 				this.deliver(nodeId, toEvent(lost ? {ok: false, reason: 'outcome-unknown'} : {ok: true, value}));
 			});
 		});
 	}
 
+	/** Whether calls of a node reach the store. */
+	reachesStore(_nodeId: string): boolean {
+		return this.storeCondition.down !== true;
+	}
+
 	pause(nodeId: string, untilMs: number): void {
 		this.#pausedUntil.set(nodeId, untilMs);
 	}
@@ -295,14 +324,15 @@
 		return probability > 0 && uniformInt(this.#random, 0, 999_999) < probability * 1_000_000;
 	}
 
+	/** Delay of one message over the network. */
+	networkDelay(): number {
+		const {delayMs, jitterMs} = this.delivery;
+		return delayMs + uniformInt(this.#random, 0, jitterMs);
+	}
+
 	#report(nodeId: string, attemptId: string, outcome: AttemptOutcome): void {
 		this.after(this.workerDelayMs, () => {
 			this.deliver(nodeId, {type: 'attempt-finished', attemptId, outcome});
 		});
 	}
-
-	#delay(): number {
-		const {delayMs, jitterMs} = this.delivery;
-		return delayMs + uniformInt(this.#random, 0, jitterMs);
-	}
 }
--- a/packages/platform/src/etcd-store.ts
+++ b/packages/platform/src/etcd-store.ts
@@ -7,6 +7,7 @@
 import {
 	type Change, type Entry, type Listing, type Operation, type StoreFailure, type StoreOutcome, type Transaction, type TransactionResult,
 } from '@rosemaryquay/core/store/transaction';
+import {CallBudget} from './call-budget.js';
 import {type Store, type WatchEvent} from './store.js';
 
 const defaultTimeoutMs = 2000;
@@ -27,6 +28,7 @@
 const watchSchema = z.object({
 	result: z.object({
 		header: headerSchema.optional(),
+		created: z.boolean().default(false),
 		canceled: z.boolean().default(false),
 		compact_revision: z.string().optional(),
 		events: z.array(z.object({type: z.string().default('PUT'), kv: keyValueSchema})).default([]),
@@ -79,10 +81,18 @@
 	readonly #pool: Pool;
 	readonly #timeoutMs: number;
 
-	constructor(options: {url: string; timeoutMs?: number; connections?: number}) {
-		const {url, timeoutMs = defaultTimeoutMs, connections = 8} = options;
+	readonly #budget: CallBudget;
+
+	constructor(options: {url: string; timeoutMs?: number; connections?: number; budget?: CallBudget}) {
+		const {url, timeoutMs = defaultTimeoutMs, connections = 8, budget = new CallBudget()} = options;
 		this.#pool = new Pool(url, {connections});
 		this.#timeoutMs = timeoutMs;
+		this.#budget = budget;
+	}
+
+	/** Calls made so far; a watch counts as one. */
+	get calls(): number {
+		return this.#budget.calls;
 	}
 
 	async list(prefix: string): Promise<StoreOutcome<Listing>> {
@@ -153,6 +163,10 @@
 	}
 
 	async #call<Schema extends z.ZodType>(path: string, body: unknown, schema: Schema): Promise<StoreOutcome<z.infer<Schema>>> {
+		if (!this.#budget.take(performance.now())) {
+			return {ok: false, reason: 'unavailable', detail: 'The call budget of this process is used up'};
+		}
+
 		try {
 			const response = await this.#pool.request({
 				path,
@@ -174,47 +188,67 @@
 	}
 
 	async #follow(prefix: string, fromRevision: number, listener: (event: WatchEvent) => void, signal: AbortSignal): Promise<void> {
+		let over = false;
+		const report = (event: WatchEvent): void => {
+			if (!over && !signal.aborted) {
+				over = event.type !== 'changed';
+				listener(event);
+			}
+		};
+
 		try {
-			const response = await this.#pool.request({
-				path: '/v3/watch',
-				method: 'POST',
-				headers: {'content-type': 'application/json'},
-				body: JSON.stringify({create_request: {key: encode(prefix), range_end: rangeEnd(prefix), start_revision: String(fromRevision)}}),
-				bodyTimeout: 0,
-				signal,
-			});
-			let pending = '';
-			response.body.setEncoding('utf8');
-			for await (const chunk of response.body) {
-				const lines = (pending + String(chunk)).split('\n');
-				pending = lines.pop() ?? '';
-				for (const line of lines) {
-					this.#report(line, listener);
-				}
+			if (this.#budget.take(performance.now())) {
+				await this.#read(prefix, fromRevision, report, signal, () => over);
 			}
 		} catch {
 			// The end of the watch is reported below, whatever its cause.
 		}
 
-		if (!signal.aborted) {
-			listener({type: 'ended'});
+		report({type: 'ended'});
+	}
+
+	async #read(prefix: string, fromRevision: number, report: (event: WatchEvent) => void, signal: AbortSignal, isOver: () => boolean): Promise<void> {
+		const response = await this.#pool.request({
+			path: '/v3/watch',
+			method: 'POST',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify({create_request: {key: encode(prefix), range_end: rangeEnd(prefix), start_revision: String(fromRevision)}}),
+			bodyTimeout: 0,
+			signal,
+		});
+		let pending = '';
+		response.body.setEncoding('utf8');
+		for await (const chunk of response.body) {
+			const lines = (pending + String(chunk)).split('\n');
+			pending = lines.pop() ?? '';
+			for (const line of lines) {
+				this.#report(line, fromRevision, report);
+			}
+
+			if (isOver()) {
+				return;
+			}
 		}
 	}
 
-	#report(line: string, listener: (event: WatchEvent) => void): void {
+	#report(line: string, fromRevision: number, report: (event: WatchEvent) => void): void {
 		const {result} = watchSchema.parse(JSON.parse(line));
+		const revision = Number(result.header?.revision ?? 0);
 		if (result.canceled) {
-			listener({type: 'compacted', revision: Number(result.compact_revision ?? 0)});
+			report({type: 'compacted', revision: Number(result.compact_revision ?? 0)});
 			return;
 		}
 
-		if (result.events.length === 0) {
+		if (result.created && revision > 0 && revision < fromRevision - 1) {
+			report({type: 'restored'});
 			return;
 		}
 
-		const changes: Change[] = result.events.map(({type, kv}) => ({
-			key: decode(kv.key), modRevision: Number(kv.mod_revision), ...(type !== 'DELETE' && {value: decode(kv.value)}),
-		}));
-		listener({type: 'changed', changes, revision: Number(result.header?.revision ?? 0)});
+		if (result.events.length > 0) {
+			const changes: Change[] = result.events.map(({type, kv}) => ({
+				key: decode(kv.key), modRevision: Number(kv.mod_revision), ...(type !== 'DELETE' && {value: decode(kv.value)}),
+			}));
+			report({type: 'changed', changes, revision});
+		}
 	}
 }
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -9,6 +9,8 @@
 export type WatchEvent =
 	| {readonly type: 'changed'; readonly changes: readonly Change[]; readonly revision: number}
 	| {readonly type: 'compacted'; readonly revision: number}
+	/** The store's revision is lower than the watch expects: it was restored from an older state. */
+	| {readonly type: 'restored'}
 	| {readonly type: 'ended'};
 
 /** Each method resolves to an outcome value and never rejects. Times are in milliseconds. */
--- a/packages/testing/src/store-model.ts
+++ b/packages/testing/src/store-model.ts
@@ -10,6 +10,9 @@
 
 type Subscription = {readonly prefix: string; readonly listener: (changes: readonly Change[], revision: number) => void};
 
+/** A copy of the state at one revision. */
+export type Backup = {readonly revision: number; readonly entries: readonly Entry[]};
+
 export class StoreModel {
 	revision = 1;
 	compactedRevision = 0;
@@ -96,6 +99,31 @@
 		}
 	}
 
+	/** Gives every lease its full time to live, as the store does when it returns from an outage. */
+	restartLeases(now: number): void {
+		for (const lease of this.#leases.values()) {
+			lease.expiresAt = now + lease.ttlMs;
+		}
+	}
+
+	/** Copies the state for `restore`. */
+	snapshot(): Backup {
+		return {revision: this.revision, entries: [...this.entries.values()]};
+	}
+
+	/** Replaces the state by an older one, as a restored backup does: revisions start again from there, and watches see nothing of it. Leases stay. */
+	restore(backup: Backup): void {
+		this.revision = backup.revision;
+		this.entries.clear();
+		for (const entry of backup.entries) {
+			this.entries.set(entry.key, entry);
+		}
+
+		this.#history.length = 0;
+		this.compactedRevision = backup.revision;
+		this.#subscriptions.clear();
+	}
+
 	compact(revision: number): void {
 		this.compactedRevision = revision;
 		while (this.#history.length > 0 && (this.#history[0]?.modRevision ?? 0) <= revision) {
--- a/packages/testing/src/store-server.ts
+++ b/packages/testing/src/store-server.ts
@@ -7,7 +7,7 @@
 import {type Change, type Entry, type Operation} from '@rosemaryquay/core/store/transaction';
 import {readBody} from './read-body.js';
 import {startServer, type ListeningServer} from './start-server.js';
-import {StoreModel} from './store-model.js';
+import {type Backup, StoreModel} from './store-model.js';
 
 /** Faults, switched at any time. */
 export type StoreFaults = {
@@ -17,6 +17,10 @@
 	delayMs: number;
 	/** Calls whose answer is lost after the write has taken effect. */
 	loseAnswers: number;
+	/** Calls that take effect twice, as a repeated request does. */
+	duplicateCalls: number;
+	/** Calls that are held back until the next call has been answered. */
+	reorderCalls: number;
 };
 
 type GatewayCall = Record<string, unknown>;
@@ -105,10 +109,14 @@
 
 export class StoreServer {
 	readonly model: StoreModel;
-	readonly faults: StoreFaults = {down: false, delayMs: 0, loseAnswers: 0};
+	readonly faults: StoreFaults = {
+		down: false, delayMs: 0, loseAnswers: 0, duplicateCalls: 0, reorderCalls: 0,
+	};
+
 	calls = 0;
 	#server: ListeningServer | undefined;
 	#timer: NodeJS.Timeout | undefined;
+	#heldBack: (() => void) | undefined;
 	readonly #watches = new Set<ServerResponse>();
 
 	constructor(options: {model?: StoreModel} = {}) {
@@ -124,7 +132,9 @@
 			void this.#handle(request, response);
 		}, options);
 		this.#timer = setInterval(() => {
-			this.model.expireLeases(performance.now());
+			if (!this.faults.down) {
+				this.model.expireLeases(performance.now());
+			}
 		}, leaseCheckIntervalMs);
 	}
 
@@ -135,11 +145,26 @@
 
 	/** Takes the store down or brings it back; going down ends every watch. */
 	setDown(down: boolean): void {
+		if (this.faults.down && !down) {
+			this.model.restartLeases(performance.now());
+		}
+
 		this.faults.down = down;
 		if (down) {
-			for (const response of this.#watches) {
-				response.destroy();
-			}
+			this.#endWatches();
+		}
+	}
+
+	/** Restarts the store from an older state. */
+	restore(backup: Backup): void {
+		this.#endWatches();
+		this.model.restore(backup);
+		this.model.restartLeases(performance.now());
+	}
+
+	#endWatches(): void {
+		for (const response of this.#watches) {
+			response.destroy();
 		}
 	}
 
@@ -167,7 +192,22 @@
 			return;
 		}
 
-		const answer = handler(this.model, call, performance.now());
+		if (this.faults.reorderCalls > 0) {
+			this.faults.reorderCalls -= 1;
+			await new Promise<void>(resolve => {
+				this.#heldBack = resolve;
+			});
+		}
+
+		let answer = handler(this.model, call, performance.now());
+		if (this.faults.duplicateCalls > 0) {
+			this.faults.duplicateCalls -= 1;
+			answer = handler(this.model, call, performance.now());
+		}
+
+		setImmediate(() => {
+			this.#heldBack?.();
+		});
 		if (this.faults.loseAnswers > 0) {
 			this.faults.loseAnswers -= 1;
 			response.destroy();
