--- a/packages/core/src/node/counters.ts
+++ b/packages/core/src/node/counters.ts
@@ -15,6 +15,16 @@
 	'peer.version-unsupported': 'Peer connections closed without a common protocol version',
 	'peer.message-invalid': 'Peer messages dropped because they do not match their schema',
 	'peer.send-dropped': 'Peer messages not sent for want of a connection or room',
+	'catalogue.edit-accepted': 'Edits of the catalogue that were stored',
+	'catalogue.edit-conflict': 'Edits refused because the entry had changed',
+	'catalogue.edit-invalid': 'Edits refused because the catalogue would be invalid',
+	'catalogue.edit-unresolved': 'Edits that ended without an answer of the store',
+	'catalogue.invalid': 'Catalogue revisions refused as a whole',
+	'catalogue.corrected': 'Transactions that adopted or rejected direct writes or restored lost entries',
+	'catalogue.from-peer': 'Catalogue revisions that came from another member',
+	'catalogue.relisted': 'Listings of the whole catalogue after the first',
+	'member.lease-lost': 'Leases of the member record that lapsed',
+	'store.call-failed': 'Store calls of the catalogue and the membership that failed',
 } as const;
 
 export type Counter = keyof typeof counters;
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -75,6 +75,15 @@
 	'trace-answered': {
 		number: 505, level: 'info', text: 'Trace: a request was answered', action: 'Read by `rosemaryquay audit`.',
 	},
+	'catalogue-corrected': {
+		number: 305, level: 'warn', text: 'The store was corrected: direct writes adopted or rejected, lost entries restored', action: 'See docs/operations/control-state.md.',
+	},
+	'member-registered': {
+		number: 306, level: 'info', text: 'The member record is in the store', action: 'None.',
+	},
+	'member-lease-lost': {
+		number: 307, level: 'warn', text: 'The lease of the member record lapsed; the member registers again', action: 'Check for long pauses of the process and for a slow store.',
+	},
 } as const satisfies Record<string, {number: number; level: Level; text: string; action: string}>;
 
 export type LogEvent = keyof typeof logEvents;
