Serve catalogue, keys and zones to operators and add their commands

Cause: operators had no way to edit the catalogue but the store's own tools. Every edit is conditional on the revision that it is based on, waits until it is in force at every member, and lists the outstanding ones otherwise. A key is generated by the daemon, stored as a hash and shown once. Daemons now connect to their peers.

--- /dev/null
+++ b/packages/cli/src/commands/operator-command.ts
@@ -0,0 +1,56 @@
+import process from 'node:process';
+import {Command, Option} from 'clipanion';
+import {type OperatorAnswer, OperatorClient} from '../operator-client.js';
+
+/** Exit codes by HTTP status: 0 done, 3 conflict, 4 refused input, 5 not reached, 1 everything else. */
+const exitCodes = new Map([[200, 0], [202, 6], [401, 4], [400, 4], [404, 4], [409, 3], [422, 4], [0, 5]]);
+
+/** Options and output that all commands for a running daemon share. */
+export abstract class OperatorCommand extends Command {
+	daemon = Option.String('--daemon', process.env.ROSEMARYQUAY_DAEMON ?? 'http://127.0.0.1:8080', {description: 'URL of a daemon; also ROSEMARYQUAY_DAEMON'});
+	key = Option.String('--key', {description: 'Key of the operator; better given as ROSEMARYQUAY_OPERATOR_KEY'});
+	json = Option.Boolean('--json', false, {description: 'Print one JSON object'});
+
+	protected get client(): OperatorClient {
+		return new OperatorClient({url: this.daemon, key: this.key ?? process.env.ROSEMARYQUAY_OPERATOR_KEY ?? ''});
+	}
+
+	/** Prints an answer and returns the exit code; `describe` gives the lines for a terminal. */
+	protected finish(answer: OperatorAnswer, describe: (body: Record<string, unknown>) => readonly string[]): number {
+		const {status, body} = answer;
+		const code = exitCodes.get(status) ?? 1;
+		if (this.json) {
+			this.context.stdout.write(`${JSON.stringify(body)}\n`);
+			return code;
+		}
+
+		if (status < 200 || status >= 300) {
+			const {title = 'The daemon refused the request', problems, difference, operator} = body;
+			this.context.stderr.write(`${String(title)}\n`);
+			for (const detail of [problems, difference].flat().filter(entry => entry !== undefined)) {
+				this.context.stderr.write(`  ${JSON.stringify(detail)}\n`);
+			}
+
+			if (typeof operator === 'string') {
+				this.context.stderr.write(`  last changed by ${operator}\n`);
+			}
+
+			return code;
+		}
+
+		for (const line of describe(body)) {
+			this.context.stdout.write(`${line}\n`);
+		}
+
+		return code;
+	}
+
+	/** Lines that tell that an edit is in force. */
+	protected describeEdit(body: Record<string, unknown>): string[] {
+		const outstanding = body.outstanding as string[];
+		const revision = String(body.revision);
+		return outstanding.length === 0
+			? [`Revision ${revision} is in force everywhere`]
+			: [`Revision ${revision} is stored; not yet confirmed by ${outstanding.join(', ')}`];
+	}
+}
--- a/packages/cli/src/create-cli.ts
+++ b/packages/cli/src/create-cli.ts
@@ -1,6 +1,26 @@
 import {Builtins, Cli} from 'clipanion';
 import {AuditCommand} from './commands/audit.js';
+import {CatalogueApplyCommand, CatalogueEditCommand, CatalogueGetCommand} from './commands/catalogue.js';
 import {CheckCommand} from './commands/check.js';
+import {KeysGiveCommand, KeysListCommand, KeysWithdrawCommand} from './commands/keys.js';
+import {ExplainCommand, MembersCommand, SharesCommand} from './commands/state.js';
+import {ZonesChangeCommand, ZonesListCommand} from './commands/zones.js';
+
+const commands = [
+	AuditCommand,
+	CatalogueApplyCommand,
+	CatalogueEditCommand,
+	CatalogueGetCommand,
+	CheckCommand,
+	ExplainCommand,
+	KeysGiveCommand,
+	KeysListCommand,
+	KeysWithdrawCommand,
+	MembersCommand,
+	SharesCommand,
+	ZonesChangeCommand,
+	ZonesListCommand,
+];
 
 /**
  * Creates the command line with all its commands.
@@ -13,7 +33,9 @@
 	const cli = new Cli({binaryLabel: 'rosemaryquay', binaryName: 'rosemaryquay', binaryVersion: '0.1.0'});
 	cli.register(Builtins.HelpCommand);
 	cli.register(Builtins.VersionCommand);
-	cli.register(AuditCommand);
-	cli.register(CheckCommand);
+	for (const command of commands) {
+		cli.register(command);
+	}
+
 	return cli;
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,6 +10,9 @@
 import {type Effect} from '@rosemaryquay/core/node/effect';
 import {type Event} from '@rosemaryquay/core/node/event';
 import {reduce} from '@rosemaryquay/core/node/reduce';
+import {type Edit, type EditResult} from '@rosemaryquay/core/catalogue/catalogue-state';
+import {PeerHub} from '@rosemaryquay/peer/peer-hub';
+import {formatPeerAddress, parsePeerAddress} from '@rosemaryquay/peer/peer-address';
 import {EtcdStore} from '@rosemaryquay/platform/etcd-store';
 import {InstanceList} from '@rosemaryquay/platform/instance-list';
 import {type Settings} from '@rosemaryquay/core/settings/schema';
@@ -20,6 +23,11 @@
 import {createTrace, type Trace} from './create-trace.js';
 import {createRouter} from './http/create-router.js';
 import {type Explanation, listStateRoutes} from './operator/list-state-routes.js';
+import {type Editor} from './operator/edit-entry.js';
+import {listCatalogueRoutes} from './operator/list-catalogue-routes.js';
+import {listKeyRoutes} from './operator/list-key-routes.js';
+import {listZoneRoutes} from './operator/list-zone-routes.js';
+import {type OperatorRoute} from './operator/operator-request.js';
 import {mountRoutes} from './operator/mount-routes.js';
 import {performEffect} from './perform-effect.js';
 import {WorkerClient} from './worker-client.js';
@@ -49,6 +57,8 @@
 	readonly #host: Host;
 	readonly #trace: Trace | undefined;
 	readonly #explanations = new LRUCache<string, Explanation>({max: rememberedRequests});
+	readonly #edits = new Map<string, (result: EditResult) => void>();
+	readonly #peers: PeerHub | undefined;
 	readonly #server: Server;
 	readonly #instanceList: InstanceList;
 	readonly #catalogueReader: CatalogueReader;
@@ -68,11 +78,10 @@
 		this.#instanceList = new InstanceList({url: settings.instanceList.url});
 		this.#trace = settings.log.trace ? createTrace(logger) : undefined;
 		this.#catalogueReader = new CatalogueReader({node: this.#node, now: () => this.#host.now()});
+		this.#peers = this.#createPeerHub();
 		const router = createRouter(this.#host, this.#node);
 		mountRoutes(router, {
-			routes: listStateRoutes({
-				node: this.#node, metrics: this.metrics, now: () => performance.now(), explain: id => this.#explanations.get(id),
-			}),
+			routes: this.#listRoutes(),
 			logger,
 			operators: settings.operators,
 			snapshot: () => this.#node.snapshot,
@@ -91,8 +100,9 @@
 	async start(): Promise<void> {
 		const {http} = this.#settings;
 		const {store, peer} = this.#settings;
+		await this.#peers?.start();
 		this.#dispatch({
-			type: 'process-started', at: this.#host.now(), address: peer === undefined ? '' : `${peer.host}:${peer.port}`, incarnation: this.#incarnation, prefix: store.prefix,
+			type: 'process-started', at: this.#host.now(), address: peer === undefined || this.#peers === undefined ? '' : formatPeerAddress(peer.host, this.#peers.port), incarnation: this.#incarnation, prefix: store.prefix,
 		});
 		void this.#repeat(tickIntervalMs, async () => {
 			this.#dispatch({type: 'tick', at: this.#host.now()});
@@ -131,6 +141,7 @@
 			stop();
 		}
 
+		await this.#peers?.stop();
 		const closed = new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
@@ -143,6 +154,51 @@
 		this.metrics.close();
 	}
 
+	#listRoutes(): OperatorRoute[] {
+		const node = this.#node;
+		const now = (): number => this.#host.now();
+		const editor: Editor = {node, now, edit: async edit => this.#edit(edit)};
+		return [
+			...listStateRoutes({
+				node, metrics: this.metrics, now, explain: id => this.#explanations.get(id),
+			}),
+			...listCatalogueRoutes(editor),
+			...listKeyRoutes(editor),
+			...listZoneRoutes(editor),
+		];
+	}
+
+	/** Without an address and a secret the daemon has no connections to peers. */
+	#createPeerHub(): PeerHub | undefined {
+		const {zone, peer, peerSecret} = this.#settings;
+		if (peer === undefined || peerSecret === undefined) {
+			return undefined;
+		}
+
+		return new PeerHub({
+			member: this.#member,
+			zone,
+			secret: peerSecret,
+			...peer,
+			onMessage: (from, message) => {
+				this.#dispatch({
+					type: 'peer-received', at: this.#host.now(), from, message,
+				});
+			},
+			count: counter => {
+				this.metrics.count(counter);
+			},
+		});
+	}
+
+	/** Submits an operator's edit to the reducer and resolves to its result. */
+	async #edit(edit: Edit): Promise<EditResult> {
+		return new Promise(resolve => {
+			this.#edits.set(edit.requestId, resolve);
+			this.#dispatch({type: 'edit-requested', at: this.#host.now(), edit});
+		});
+	}
+
 	#createHost(): Host {
 		const {store, limits} = this.#settings;
 		return {
@@ -160,14 +216,15 @@
 				this.#dispatch(event);
 			},
 			now: () => performance.now(),
-			sendToPeer() {
-				// Connections to peers are not made yet; the node has no peers.
+			sendToPeer: (to, message) => {
+				this.#peers?.send(to, message);
 			},
-			keepPeers() {
-				// Connections to peers are not made yet.
+			keepPeers: peers => {
+				this.#peers?.setPeers(peers.flatMap(({id, address}) => parsePeerAddress(id, address)));
 			},
-			answerEdit() {
-				// The operator interface is not served yet.
+			answerEdit: (requestId, result) => {
+				this.#edits.get(requestId)?.(result);
+				this.#edits.delete(requestId);
 			},
 			shutdownFinished: () => {
 				this.#finishShutdown?.();
--- /dev/null
+++ b/packages/daemon/src/operator/edit-entry.ts
@@ -0,0 +1,79 @@
+import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Edit, type EditResult} from '@rosemaryquay/core/catalogue/catalogue-state';
+import {type Section} from '@rosemaryquay/core/catalogue/schema';
+import {listOutstandingMembers} from '@rosemaryquay/core/membership/list-outstanding-members';
+import {type Node} from '@rosemaryquay/core/node/node';
+import {type OperatorResponse} from './operator-request.js';
+
+/** What edits of the catalogue need. */
+export type Editor = {
+	readonly node: Node;
+	now(): number;
+	edit(edit: Edit): Promise<EditResult>;
+};
+
+type Change = {
+	readonly operator: string;
+	readonly section: Section;
+	readonly name: string;
+	/** `null` deletes the entry. */
+	readonly value: unknown;
+	readonly baseRevision?: number;
+	readonly requestId?: string;
+};
+
+/** Longest wait for an edit to be in force everywhere; the answer then lists the outstanding members. */
+const inForceTimeoutMs = 8000;
+const inForcePollMs = 20;
+
+async function waitUntilInForce(editor: Editor, revision: number): Promise<string[]> {
+	const acceptedAt = editor.now();
+	for (;;) {
+		const at = editor.now();
+		const outstanding = listOutstandingMembers(editor.node, revision, {acceptedAt, at});
+		if (outstanding.length === 0 || at - acceptedAt > inForceTimeoutMs) {
+			return outstanding;
+		}
+
+		await delay(inForcePollMs);
+	}
+}
+
+type Responder<Type extends EditResult['type']> = (editor: Editor, requestId: string, result: Extract<EditResult, {type: Type}>) => Promise<OperatorResponse> | OperatorResponse;
+
+function problem(status: number, title: string, details: Record<string, unknown>): OperatorResponse {
+	return {
+		status, body: {
+			type: 'about:blank', title, status, ...details,
+		},
+	};
+}
+
+const responders: {readonly [Type in EditResult['type']]: Responder<Type>} = {
+	async accepted(editor, requestId, {revision}) {
+		const outstanding = await waitUntilInForce(editor, revision);
+		return {status: outstanding.length === 0 ? 200 : 202, body: {requestId, revision, outstanding}};
+	},
+	conflict: (_editor, requestId, {revision, operator, difference}) => problem(409, 'The entry has changed since the revision that the edit is based on', {
+		requestId, revision, operator, difference,
+	}),
+	invalid: (_editor, requestId, {problems}) => problem(422, 'The catalogue would be invalid', {requestId, problems}),
+	unavailable: (_editor, requestId) => problem(503, 'The store does not answer; nothing was written', {requestId}),
+	'outcome-unknown': (_editor, requestId) => problem(504, 'The edit may have been stored; submit the same request identifier again', {requestId}),
+};
+
+/**
+ * Edits one entry of the catalogue and waits until the edit is in force everywhere.
+ *
+ * @param editor - the node and the way to submit edits
+ * @param change - operator, entry, new value and the revision that it is based on, by default the one in force
+ * @returns the response to the operator
+ * @example
+ * const response = await editEntry(editor, {operator: 'ann', section: 'zones', name: 'zone-a', value});
+ */
+export async function editEntry(editor: Editor, change: Change): Promise<OperatorResponse> {
+	const {baseRevision = editor.node.snapshot.revision, requestId = randomUUID(), ...entry} = change;
+	const result = await editor.edit({...entry, baseRevision, requestId});
+	return (responders[result.type] as Responder<EditResult['type']>)(editor, requestId, result);
+}
--- /dev/null
+++ b/packages/daemon/src/operator/list-key-routes.ts
@@ -0,0 +1,83 @@
+import {createHash, randomBytes} from 'node:crypto';
+import {z} from 'zod';
+import {nameSchema, type Team} from '@rosemaryquay/core/catalogue/schema';
+import {editEntry, type Editor} from './edit-entry.js';
+import {type OperatorRequest, type OperatorResponse, type OperatorRoute} from './operator-request.js';
+
+const keyBytes = 32;
+
+const giveSchema = z.strictObject({note: z.string().max(200).optional(), baseRevision: z.int().min(0).optional()});
+
+function problem(status: number, title: string): OperatorResponse {
+	return {status, body: {type: 'about:blank', title, status}};
+}
+
+function findTeam(editor: Editor, name: string): Team | undefined {
+	const {teams} = editor.node.snapshot.catalogue;
+	return Object.hasOwn(teams, name) ? teams[name] : undefined;
+}
+
+async function giveKey(editor: Editor, request: OperatorRequest): Promise<OperatorResponse> {
+	const {team: teamName = '', key: keyName = ''} = request.parameters;
+	const team = findTeam(editor, teamName);
+	const parsed = giveSchema.safeParse(request.body ?? {});
+	if (team === undefined) {
+		return problem(404, `The catalogue has no team "${teamName}"`);
+	}
+
+	if (!parsed.success || !nameSchema.safeParse(keyName).success) {
+		return problem(400, parsed.success ? `"${keyName}" is not a name for a key` : z.prettifyError(parsed.error));
+	}
+
+	if (Object.hasOwn(team.keys, keyName)) {
+		return problem(409, `Team "${teamName}" already has a key "${keyName}"; give one under another name and withdraw this one`);
+	}
+
+	const {note, baseRevision} = parsed.data;
+	const key = randomBytes(keyBytes).toString('base64url');
+	const hash = createHash('sha256').update(key).digest('hex');
+	const value = {...team, keys: {...team.keys, [keyName]: {hash, ...(note !== undefined && {note})}}};
+	const response = await editEntry(editor, {
+		operator: request.operator, section: 'teams', name: teamName, value, ...(baseRevision !== undefined && {baseRevision}),
+	});
+	// Only the hash is stored: this answer is the one place where the key appears.
+	return response.status < 300 ? {status: response.status, body: {...response.body as Record<string, unknown>, key}} : response;
+}
+
+async function withdrawKey(editor: Editor, request: OperatorRequest): Promise<OperatorResponse> {
+	const {team: teamName = '', key: keyName = ''} = request.parameters;
+	const team = findTeam(editor, teamName);
+	if (team === undefined || !Object.hasOwn(team.keys, keyName)) {
+		return problem(404, `There is no key "${keyName}" of a team "${teamName}"`);
+	}
+
+	const keys = Object.fromEntries(Object.entries(team.keys).filter(([name]) => name !== keyName));
+	return editEntry(editor, {
+		operator: request.operator, section: 'teams', name: teamName, value: {...team, keys},
+	});
+}
+
+/**
+ * Lists the routes that give, withdraw and list keys of teams.
+ *
+ * @param editor - the node and the way to submit edits
+ * @returns the routes
+ * @example
+ * mountRoutes(router, {routes: listKeyRoutes(editor), logger, snapshot});
+ */
+export function listKeyRoutes(editor: Editor): OperatorRoute[] {
+	return [
+		{
+			method: 'GET', path: '/operator/teams/:team/keys', handler({parameters: {team: name = ''}}) {
+				const team = findTeam(editor, name);
+				if (team === undefined) {
+					return problem(404, `The catalogue has no team "${name}"`);
+				}
+
+				return {status: 200, body: {keys: Object.entries(team.keys).map(([key, {note}]) => ({name: key, note}))}};
+			},
+		},
+		{method: 'POST', path: '/operator/teams/:team/keys/:key', handler: async request => giveKey(editor, request)},
+		{method: 'DELETE', path: '/operator/teams/:team/keys/:key', handler: async request => withdrawKey(editor, request)},
+	];
+}
--- /dev/null
+++ b/packages/peer/src/peer-address.ts
@@ -0,0 +1,33 @@
+/**
+ * Addresses of peers as text, `host:port`, with IPv6 hosts in brackets.
+ */
+import {isIP, isIPv6} from 'node:net';
+
+/** Address of another member. */
+export type PeerAddress = {
+	readonly member: string;
+	readonly host: string;
+	readonly port: number;
+};
+
+const addressPattern = /^(?:\[(?<six>[^\]]+)]|(?<four>[^:]+)):(?<port>\d{1,5})$/;
+
+export function formatPeerAddress(host: string, port: number): string {
+	return isIPv6(host) ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+/**
+ * Parses the address of a member.
+ *
+ * @param member - identifier of the member
+ * @param address - its address as text
+ * @returns a list with the address, empty when the text is not an address
+ * @example
+ * parsePeerAddress('entry-1', '127.0.0.1:8081');
+ */
+export function parsePeerAddress(member: string, address: string): PeerAddress[] {
+	const groups = addressPattern.exec(address)?.groups;
+	const host = groups?.six ?? groups?.four ?? '';
+	const port = Number(groups?.port);
+	return isIP(host) === 0 || port < 1 || port > 65_535 ? [] : [{member, host, port}];
+}
--- a/packages/peer/src/peer-hub.ts
+++ b/packages/peer/src/peer-hub.ts
@@ -15,15 +15,9 @@
 import {createTlsOptions} from './create-tls-options.js';
 import {encodeFrame} from './encode-frame.js';
 import {FrameReader} from './frame-reader.js';
+import {type PeerAddress} from './peer-address.js';
 import {type Hello, helloSchema, protocolVersions} from './hello.js';
 
-/** Address of another member. */
-export type PeerAddress = {
-	readonly member: string;
-	readonly host: string;
-	readonly port: number;
-};
-
 /** What the hub counts. */
 export type PeerCounter =
 	| 'peer.authentication-failed'
