Give urgent demand its own part of a team's share

A team's urgent request that arrived at one instance had to wait for a part that was sized by the team's bulk demand at the others. Summaries now carry the urgent demand, each instance takes its urgent demand out of the team's share first, and the team's other work shrinks by as much. The starvation bound holds for each team and class instead of the pool.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -46,8 +46,8 @@
 /** Part of a pool's slots that bulk tasks leave free for urgent ones. */
 export const urgentReserve = 1 / 32;
 
-/** Longest time that bulk work waits while none starts in its pool at this instance. */
-export const bulkStarvationMs = 10_000;
+/** Longest time that a team's bulk or standard work waits while none of it starts at this instance. */
+export const starvationMs = 10_000;
 
 /** Run time by class until the first observation of a queue. */
 export const initialRunTimeMs = {urgent: 100, standard: 500, bulk: 5000} as const;
--- a/packages/core/src/membership/message.ts
+++ b/packages/core/src/membership/message.ts
@@ -6,7 +6,12 @@
 const countSchema = z.int().min(0);
 
 /** Demand of one team in one pool at one member. */
-export const demandSchema = z.strictObject({running: countSchema, queued: countSchema});
+export const demandSchema = z.strictObject({
+	running: countSchema,
+	queued: countSchema,
+	/** Running and waiting urgent tasks, which are part of the other counts. */
+	urgent: countSchema.optional(),
+});
 
 /** State of one member, sent to its neighbours at an interval. */
 export const summarySchema = z.strictObject({
--- a/packages/core/src/shares/count-start.ts
+++ b/packages/core/src/shares/count-start.ts
@@ -17,9 +17,6 @@
 	const account = findAccount(pool, task.team);
 	account.running += 1;
 	account.urgent += task.class === 'urgent' ? 1 : 0;
-	if (task.class === 'bulk') {
-		pool.bulkStartedAt = at;
-	}
 
 	const key = `${task.team}/${task.class}`;
 	const flow = pool.flows.get(key);
@@ -29,9 +26,10 @@
 	const finishTag = startTag + (expectRunTime(node, task) / weight);
 	if (flow === undefined) {
 		pool.flows.set(key, {
-			team: task.team, class: task.class, tasks: [], finishTag,
+			team: task.team, class: task.class, tasks: [], finishTag, startedAt: at,
 		});
 	} else {
 		flow.finishTag = finishTag;
+		flow.startedAt = at;
 	}
 }
--- a/packages/core/src/shares/describe-demand.ts
+++ b/packages/core/src/shares/describe-demand.ts
@@ -10,12 +10,13 @@
  * describeDemand(node)['web']?.['team-a']?.queued;
  */
 export function describeDemand(node: Node): Record<string, Record<string, Demand>> {
-	const demand: Record<string, Record<string, {running: number; queued: number}>> = {};
+	const demand: Record<string, Record<string, {running: number; queued: number; urgent: number}>> = {};
 	for (const task of node.tasks.byId.values()) {
 		demand[task.pool] ??= {};
 		const pool = demand[task.pool] ?? {};
-		pool[task.team] ??= {running: 0, queued: 0};
-		const team = pool[task.team] ?? {running: 0, queued: 0};
+		pool[task.team] ??= {running: 0, queued: 0, urgent: 0};
+		const team = pool[task.team] ?? {running: 0, queued: 0, urgent: 0};
+		team.urgent += task.class === 'urgent' ? 1 : 0;
 		if (task.state === 'running') {
 			team.running += 1;
 		} else {
--- a/packages/core/src/shares/enqueue-task.ts
+++ b/packages/core/src/shares/enqueue-task.ts
@@ -25,7 +25,7 @@
 	let flow = pool.flows.get(key);
 	if (flow === undefined) {
 		flow = {
-			team: task.team, class: task.class, tasks: [], finishTag: 0,
+			team: task.team, class: task.class, tasks: [], finishTag: 0, startedAt: Number.NEGATIVE_INFINITY,
 		};
 		pool.flows.set(key, flow);
 	}
--- a/packages/core/src/shares/find-pool.ts
+++ b/packages/core/src/shares/find-pool.ts
@@ -21,7 +21,6 @@
 			full: false,
 			capacity: 0,
 			runningElsewhere: 0,
-			bulkStartedAt: Number.NEGATIVE_INFINITY,
 		};
 		node.shares.pools.set(name, pool);
 	}
--- a/packages/core/src/shares/may-start.ts
+++ b/packages/core/src/shares/may-start.ts
@@ -33,9 +33,8 @@
 		return true;
 	}
 
-	// A few urgent tasks of a team whose other work fills its part go ahead; the debt is made up later.
-	const waiting = workClass === 'urgent' ? pool.flows.get(`${team}/urgent`)?.tasks.length ?? 0 : 0;
-	if (waiting > 0 && account.urgent + waiting <= Math.ceil(account.part)) {
+	// The team's other work gives way to its urgent work: its parts shrink by the urgent demand.
+	if (workClass === 'urgent' && account.urgentWithin) {
 		return true;
 	}
 
--- a/packages/core/src/shares/next-task.ts
+++ b/packages/core/src/shares/next-task.ts
@@ -1,16 +1,16 @@
-import {bulkStarvationMs} from '../constants.js';
+import {starvationMs} from '../constants.js';
 import {type WorkClass} from '../catalogue/schema.js';
 import {hasHeadroom} from '../limits/has-headroom.js';
 import {type Node, type Task} from '../node/node.js';
 import {canResume} from './can-resume.js';
 import {mayStart} from './may-start.js';
 import {planShares} from './plan-shares.js';
-import {type Flow, type PoolShares} from './shares.js';
+import {type Flow} from './shares.js';
 
 /** Tasks looked at in one flow; those in front may wait for the worker that holds their progress. */
 const lookAhead = 16;
 
-/** Lower ranks start first; `starved` is bulk work past its starvation bound. */
+/** Lower ranks start first; `starved` is other work past its starvation bound. */
 const ranks: Readonly<Record<WorkClass | 'starved', number>> = {
 	starved: 0, urgent: 1, standard: 2, bulk: 2,
 };
@@ -29,8 +29,8 @@
 	return undefined;
 }
 
-function isStarved(pool: PoolShares, flow: Flow, task: Task, at: number): boolean {
-	return flow.class === 'bulk' && at - task.arrivedAt > bulkStarvationMs && at - pool.bulkStartedAt > bulkStarvationMs;
+function isStarved(flow: Flow, task: Task, at: number): boolean {
+	return flow.class !== 'urgent' && at - task.arrivedAt > starvationMs && at - flow.startedAt > starvationMs;
 }
 
 /**
@@ -58,7 +58,7 @@
 			continue;
 		}
 
-		const starved = isStarved(pool, flow, task, at);
+		const starved = isStarved(flow, task, at);
 		if (!starved && !mayStart(pool, flow.team, flow.class)) {
 			continue;
 		}
--- a/packages/core/src/shares/plan-shares.ts
+++ b/packages/core/src/shares/plan-shares.ts
@@ -23,8 +23,10 @@
 	}
 }
 
-function sumDemandElsewhere(node: Node, name: string, at: number): {byTeam: Map<string, number>; running: number} {
-	const byTeam = new Map<string, number>();
+type Elsewhere = {readonly byTeam: Map<string, {all: number; urgent: number}>; readonly running: number};
+
+function sumDemandElsewhere(node: Node, name: string, at: number): Elsewhere {
+	const byTeam: Elsewhere['byTeam'] = new Map();
 	let running = 0;
 	for (const summary of listSummaries(node, at)) {
 		if (!Object.hasOwn(summary.demand, name)) {
@@ -32,7 +34,10 @@
 		}
 
 		for (const [team, demand] of Object.entries(summary.demand[name] ?? {})) {
-			byTeam.set(team, (byTeam.get(team) ?? 0) + demand.running + demand.queued);
+			const sum = byTeam.get(team) ?? {all: 0, urgent: 0};
+			sum.all += demand.running + demand.queued;
+			sum.urgent += demand.urgent ?? 0;
+			byTeam.set(team, sum);
 			running += demand.running;
 		}
 	}
@@ -40,6 +45,10 @@
 	return {byTeam, running};
 }
 
+function partOf(share: number, own: number, all: number): number {
+	return all <= 0 ? 0 : (share * own) / all;
+}
+
 /**
  * Computes the weighted max-min shares of a pool over the whole fleet and this node's part of each,
  * in proportion to its part of the team's demand. Does nothing while the last plan is recent.
@@ -66,7 +75,7 @@
 	let demandInAll = 0;
 	for (const team of new Set([...pool.accounts.keys(), ...elsewhere.byTeam.keys()])) {
 		const account = pool.accounts.get(team);
-		const demand = (account?.running ?? 0) + (account?.queued ?? 0) + (elsewhere.byTeam.get(team) ?? 0);
+		const demand = (account?.running ?? 0) + (account?.queued ?? 0) + (elsewhere.byTeam.get(team)?.all ?? 0);
 		const entry = teams[team];
 		if (entry !== undefined && demand > 0) {
 			claims.set(team, {demand: Math.min(demand, entry.limits.running), weight: entry.share});
@@ -80,8 +89,14 @@
 	const shares = divideCapacity(claims, pool.capacity);
 	for (const [team, account] of pool.accounts) {
 		const own = account.running + account.queued;
-		const all = own + (elsewhere.byTeam.get(team) ?? 0);
-		account.part = all === 0 ? 0 : ((shares.get(team) ?? 0) * own) / all;
+		const ownUrgent = account.urgent + (pool.flows.get(`${team}/urgent`)?.tasks.length ?? 0);
+		const others = elsewhere.byTeam.get(team) ?? {all: 0, urgent: 0};
+		const share = shares.get(team) ?? 0;
+		const urgent = ownUrgent + others.urgent;
+		const urgentShare = Math.min(share, urgent);
+		// Urgent demand is met first, by whichever instances have it; the rest follows the other demand.
+		account.urgentWithin = urgent <= share;
+		account.part = partOf(urgentShare, ownUrgent, urgent) + partOf(share - urgentShare, own - ownUrgent, own + others.all - urgent);
 		if (own === 0 && account.credit === 0) {
 			pool.accounts.delete(team);
 		}
--- a/packages/core/src/shares/preempt-bulk.ts
+++ b/packages/core/src/shares/preempt-bulk.ts
@@ -48,10 +48,9 @@
 			continue;
 		}
 
-		const bulk = account.running - account.urgent;
-		if (mayStart(pool, flow.team, 'urgent') || bulk > 0) {
-			const room = Math.ceil(account.part) - account.urgent;
-			blocked.set(flow.team, Math.min(flow.tasks.length, pool.full ? Math.max(room, 0) : flow.tasks.length));
+		if (mayStart(pool, flow.team, 'urgent')) {
+			const room = pool.full && !account.urgentWithin ? Math.ceil(account.part) - account.running : flow.tasks.length;
+			blocked.set(flow.team, Math.max(0, Math.min(flow.tasks.length, room)));
 		}
 	}
 
--- a/packages/core/src/shares/shares.ts
+++ b/packages/core/src/shares/shares.ts
@@ -11,6 +11,8 @@
 	readonly tasks: Task[];
 	/** Finish tag of start-time fair queueing, in milliseconds of run time per weight. */
 	finishTag: number;
+	/** When a task of the flow last started here. */
+	startedAt: number;
 };
 
 /** Slots of one team in one pool at this node. */
@@ -23,6 +25,8 @@
 	queued: number;
 	/** Slots that this node may use for the team while the pool is full; a fraction. */
 	part: number;
+	/** Whether the urgent demand of the team in the whole fleet is within its share. */
+	urgentWithin: boolean;
 	/** Slot-milliseconds below (positive) or above (negative) the part while the pool was full. */
 	credit: number;
 };
@@ -40,8 +44,6 @@
 	capacity: number;
 	/** Running tasks of the other members, from their summaries. */
 	runningElsewhere: number;
-	/** When a bulk task last started while others waited. */
-	bulkStartedAt: number;
 };
 
 /** Run time of the requests of one queue, learned from finished tasks. */
--- a/packages/measure/src/experiments.ts
+++ b/packages/measure/src/experiments.ts
@@ -4,8 +4,10 @@
 import {type Experiment} from './experiment.js';
 import {fairShare} from './experiments/fair-share.js';
 import {requestPath} from './experiments/request-path.js';
+import {urgentStart} from './experiments/urgent-start.js';
 
 export const experiments: Readonly<Record<string, Experiment>> = {
 	'fair-share': fairShare,
 	'request-path': requestPath,
+	'urgent-start': urgentStart,
 };
--- /dev/null
+++ b/packages/measure/src/experiments/urgent-start.ts
@@ -0,0 +1,129 @@
+/**
+ * Time to start of urgent requests while long bulk tasks burst in the same pools.
+ */
+import {type Catalogue} from '@rosemaryquay/core/catalogue/schema';
+import {checkBound} from '../check-bound.js';
+import {type Baseline, type Bound, type Experiment} from '../experiment.js';
+import {listUsers, loadUser, type User} from '../load-user.js';
+import {runSlots} from '../run-slots.js';
+import {
+	createRandom, createRequests, createScenario, type Random, type Request, type Stream,
+} from '../scenario.js';
+
+const targetMs = 1000;
+const quantile = 0.999;
+const endMs = 120_000;
+const urgentRunMs = 120;
+const bulkRunMs = 8000;
+const bulkDeadlineMs = 600_000;
+/** Urgent demand in parts of the pool's capacity: the mean, and the peaks of some seconds. */
+const urgentLoad = {mean: 0.1, peak: 0.4};
+const bulkLoad = 1.5;
+const bulkBurstMs = 15_000;
+const bulkPeriodMs = 40_000;
+const peakMs = 4000;
+const peakPeriodMs = 13_000;
+
+/** Adds a bulk queue to every service that has an urgent one, as not every user has both in one pool. */
+function addBulkQueues(user: User): {user: User; pairs: Array<{urgent: string; bulk: string; pool: string}>} {
+	const queues: Catalogue['queues'] = {...user.catalogue.queues};
+	const pairs: Array<{urgent: string; bulk: string; pool: string}> = [];
+	for (const [name, queue] of Object.entries(user.catalogue.queues)) {
+		if (queue.class === 'urgent') {
+			const bulk = `${name}-bulk`;
+			queues[bulk] = {
+				...queue, class: 'bulk', repeatable: false, limits: {...queue.limits, deadlineMs: bulkDeadlineMs},
+			};
+			pairs.push({urgent: name, bulk, pool: user.catalogue.services[queue.service]?.pool ?? ''});
+		}
+	}
+
+	return {user: {...user, catalogue: {...user.catalogue, queues}}, pairs};
+}
+
+/** Between one and all of the entry instances, as callers keep their connections. */
+function pickEntries(user: User, random: Random): number[] {
+	const entries = Array.from({length: user.fleet.entryInstances}, (_, index) => ({index, key: random()}));
+	return entries.toSorted((a, b) => a.key - b.key).slice(0, 1 + Math.floor(random() * entries.length)).map(({index}) => index);
+}
+
+function createStreams(user: User, pairs: ReadonlyArray<{urgent: string; bulk: string; pool: string}>, random: Random): Stream[] {
+	const streams: Stream[] = [];
+	const teams = Object.entries(user.catalogue.teams);
+	const weights = teams.reduce((sum, [, team]) => sum + team.share, 0);
+	for (const {urgent, bulk, pool} of pairs) {
+		const capacity = user.instances.filter(instance => instance.pool === pool).length * (user.catalogue.pools[pool]?.limits.slotsPerInstance ?? 0);
+		for (const [team, {share}] of teams) {
+			const slots = (capacity * share) / weights;
+			const add = (queue: string, load: number, from: number, until: number, meanRunMs: number): void => {
+				streams.push({
+					queue, team, fromMs: from, untilMs: Math.min(until, endMs), perSecond: (slots * load * 1000) / meanRunMs, meanRunMs, entries: pickEntries(user, random),
+				});
+			};
+
+			add(urgent, urgentLoad.mean, 0, endMs, urgentRunMs);
+			for (let at = random() * peakPeriodMs; at < endMs; at += peakPeriodMs) {
+				add(urgent, urgentLoad.peak - urgentLoad.mean, at, at + peakMs, urgentRunMs);
+			}
+
+			for (let at = random() * 5000; at < endMs; at += bulkPeriodMs) {
+				add(bulk, bulkLoad, at, at + bulkBurstMs, bulkRunMs);
+			}
+		}
+	}
+
+	return streams;
+}
+
+/** The quantile of the start times, and the number of urgent requests that never started. */
+function summarize(requests: readonly Request[], startedAt: ReadonlyMap<string, number>): {p999: number; worst: number; urgent: number; unstarted: number; late: number} {
+	const waits: number[] = [];
+	let unstarted = 0;
+	for (const {id, at, class: workClass} of requests) {
+		if (workClass === 'urgent') {
+			const started = startedAt.get(id);
+			unstarted += started === undefined ? 1 : 0;
+			waits.push(started === undefined ? endMs : started - at);
+		}
+	}
+
+	waits.sort((a, b) => a - b);
+	return {
+		p999: waits[Math.ceil(waits.length * quantile) - 1] ?? 0, worst: waits.at(-1) ?? 0, urgent: waits.length, unstarted, late: waits.filter(wait => wait > targetMs).length,
+	};
+}
+
+export const urgentStart: Experiment = {
+	summary: 'Time to start of urgent requests under bursts of long bulk tasks',
+	run({seed}) {
+		const bounds: Bound[] = [];
+		const baselines: Baseline[] = [];
+		const details: Record<string, unknown> = {};
+		for (const name of listUsers()) {
+			const {user, pairs} = addBulkQueues(loadUser(name));
+			const random = createRandom(seed);
+			const requests = createRequests(user, createStreams(user, pairs, random), random);
+			const {pump} = createScenario(user, requests, {seed});
+			// Requests that arrive just before the end have time to start.
+			pump.run(endMs + (2 * targetMs));
+			const startedAt = new Map<string, number>();
+			for (const entry of pump.trace) {
+				if (entry.type === 'started' && !startedAt.has(entry.taskId)) {
+					startedAt.set(entry.taskId, entry.at);
+				}
+			}
+
+			const measured = summarize(requests, startedAt);
+			const measure = `p99.9 start time of urgent requests, ${name}`;
+			bounds.push(checkBound(measure, measured.p999, {comparison: 'atMost', limit: targetMs, unit: 'ms'}));
+			const {intervals} = runSlots(user, requests, {method: 'first come first served'});
+			const first = summarize(requests, new Map(intervals.map(({id, from}) => [id, from])));
+			baselines.push({
+				name: 'first come first served', measure, unit: 'ms', value: first.p999,
+			});
+			details[name] = {measured, counters: Object.fromEntries(pump.counters)};
+		}
+
+		return {bounds, baselines, details};
+	},
+};
