Measure the withdrawal of an availability zone

Withdrawn and returning zones reduce the capacity that shares are computed from; nothing measured what that costs. The experiment withdraws and restores a zone under overload, with failing tries and checkpointed tasks in it. A task that starts again elsewhere now drops its old progress and is counted.

--- a/packages/core/src/tasks/dispatch-pool.ts
+++ b/packages/core/src/tasks/dispatch-pool.ts
@@ -16,6 +16,12 @@
 	removeTask(node, task);
 	countStart(node, task, at);
 	acquireSlot(node, task.team);
+	const effects: Effect[] = [{type: 'count', counter: 'attempt.started'}];
+	if (task.resume !== undefined && resumes === undefined) {
+		delete task.resume;
+		effects.push({type: 'count', counter: 'task.restarted'});
+	}
+
 	worker.running += 1;
 	task.state = 'running';
 	task.attemptsStarted += 1;
@@ -23,12 +29,10 @@
 	node.tasks.attempts.set(attemptId, {
 		id: attemptId, taskId: task.id, workerId: worker.instance.id, startedAt: at,
 	});
-	return [
-		{type: 'count', counter: 'attempt.started'},
-		{
-			type: 'start-attempt', taskId: task.id, attemptId, workerId: worker.instance.id, address: worker.instance.address, timeoutMs: task.deadlineAt - at, ...(resumes !== undefined && {resumes}),
-		},
-	];
+	effects.push({
+		type: 'start-attempt', taskId: task.id, attemptId, workerId: worker.instance.id, address: worker.instance.address, timeoutMs: task.deadlineAt - at, ...(resumes !== undefined && {resumes}),
+	});
+	return effects;
 }
 
 /**
--- a/packages/measure/src/experiments.ts
+++ b/packages/measure/src/experiments.ts
@@ -5,9 +5,11 @@
 import {fairShare} from './experiments/fair-share.js';
 import {requestPath} from './experiments/request-path.js';
 import {urgentStart} from './experiments/urgent-start.js';
+import {zoneWithdrawal} from './experiments/zone-withdrawal.js';
 
 export const experiments: Readonly<Record<string, Experiment>> = {
 	'fair-share': fairShare,
 	'request-path': requestPath,
 	'urgent-start': urgentStart,
+	'zone-withdrawal': zoneWithdrawal,
 };
--- a/packages/measure/src/scenario.ts
+++ b/packages/measure/src/scenario.ts
@@ -7,7 +7,7 @@
 import {type WorkClass} from '@rosemaryquay/core/catalogue/schema';
 import {createNode} from '@rosemaryquay/core/node/create-node';
 import {type User} from './load-user.js';
-import {Pump, type Delivery} from './pump.js';
+import {Pump, type Delivery, type WorkerModel} from './pump.js';
 
 /** One request of the table. */
 export type Request = {
@@ -82,15 +82,15 @@
 }
 
 /** Creates the user's entry instances on a pump and schedules the requests; the caller runs it. */
-export function createScenario(user: User, requests: readonly Request[], options: {seed: number; delivery?: Partial<Delivery>}): {pump: Pump; names: string[]} {
-	const {seed, delivery = {}} = options;
+export function createScenario(user: User, requests: readonly Request[], options: {seed: number; delivery?: Partial<Delivery>; outcome?: WorkerModel['outcome']}): {pump: Pump; names: string[]} {
+	const {seed, delivery = {}, outcome} = options;
 	const {zones, entryInstances} = user.fleet;
 	const nodes = Array.from({length: entryInstances}, (_, index) => createNode({id: `entry-${index + 1}`, zone: zones[index % zones.length] ?? '', seed: seed + index}));
 	const names = nodes.map(node => node.id);
 	const byId = new Map(requests.map(request => [request.id, request]));
 	const [pool] = Object.values(user.catalogue.pools);
 	const pump = new Pump({
-		nodes, seed, delivery, worker: {slots: pool?.limits.slotsPerInstance ?? 1, serviceTimeMs: id => byId.get(id)?.runMs ?? 1},
+		nodes, seed, delivery, worker: {slots: pool?.limits.slotsPerInstance ?? 1, serviceTimeMs: id => byId.get(id)?.runMs ?? 1, ...(outcome !== undefined && {outcome})},
 	});
 	for (const name of names) {
 		pump.deliver(name, {type: 'catalogue-loaded', snapshot: createSnapshot(user.catalogue, 1)});
