--- a/packages/core/src/membership/message.ts
+++ b/packages/core/src/membership/message.ts
@@ -8,7 +8,12 @@
 const countSchema = z.int().min(0);
 
 /** Demand of one team in one pool at one member. */
-export const demandSchema = z.strictObject({running: countSchema, queued: countSchema});
+export const demandSchema = z.strictObject({
+	running: countSchema,
+	queued: countSchema,
+	/** Running and waiting urgent tasks, which are part of the other counts. */
+	urgent: countSchema.optional(),
+});
 
 const memberSchema = z.string().min(1).max(128);
 
--- a/packages/core/src/tasks/dispatch-pool.ts
+++ b/packages/core/src/tasks/dispatch-pool.ts
@@ -4,14 +4,24 @@
 import {acquireSlot} from '../limits/acquire-slot.js';
 import {chooseWorker} from '../placement/choose-worker.js';
 import {type Worker} from '../placement/placement.js';
+import {countStart} from '../shares/count-start.js';
+import {findResumeWorker} from '../shares/find-resume-worker.js';
 import {nextTask} from '../shares/next-task.js';
 import {removeTask} from '../shares/remove-task.js';
 
 function startAttempt(node: Node, task: Task, worker: Worker, at: number): Effect[] {
 	const attemptId = `${node.id}-${node.tasks.nextAttempt}`;
 	node.tasks.nextAttempt += 1;
+	const resumes = task.resume?.workerId === worker.instance.id ? task.resume.attemptId : undefined;
 	removeTask(node, task);
+	countStart(node, task, at);
 	acquireSlot(node, task.team);
+	const effects: Effect[] = [{type: 'count', counter: 'attempt.started'}];
+	if (task.resume !== undefined && resumes === undefined) {
+		delete task.resume;
+		effects.push({type: 'count', counter: 'task.restarted'});
+	}
+
 	worker.running += 1;
 	task.state = 'running';
 	task.attemptsStarted += 1;
@@ -19,12 +29,10 @@
 	node.tasks.attempts.set(attemptId, {
 		id: attemptId, taskId: task.id, workerId: worker.instance.id, startedAt: at,
 	});
-	return [
-		{type: 'count', counter: 'attempt.started'},
-		{
-			type: 'start-attempt', taskId: task.id, attemptId, workerId: worker.instance.id, address: worker.instance.address, timeoutMs: task.deadlineAt - at,
-		},
-	];
+	effects.push({
+		type: 'start-attempt', taskId: task.id, attemptId, workerId: worker.instance.id, address: worker.instance.address, timeoutMs: task.deadlineAt - at, ...(resumes !== undefined && {resumes}),
+	});
+	return effects;
 }
 
 /**
@@ -44,12 +52,12 @@
 	}
 
 	for (;;) {
-		const task = nextTask(node, pool);
+		const task = nextTask(node, pool, at);
 		if (task === undefined) {
 			return effects;
 		}
 
-		const worker = chooseWorker(node, pool);
+		const worker = findResumeWorker(node, task, at) ?? chooseWorker(node, pool);
 		if (worker === undefined) {
 			return effects;
 		}
--- a/packages/daemon/src/performers/start-attempt.ts
+++ b/packages/daemon/src/performers/start-attempt.ts
@@ -2,7 +2,7 @@
 import {type Flight, type Host} from '../host.js';
 
 async function runAttempt(host: Host, effect: EffectOf<'start-attempt'>): Promise<void> {
-	const {taskId, attemptId, address, timeoutMs} = effect;
+	const {taskId, attemptId, address, timeoutMs, resumes} = effect;
 	const exchange = host.exchanges.get(taskId);
 	if (exchange === undefined) {
 		host.dispatch({
@@ -14,7 +14,7 @@
 	const flight: Flight = {address, cancelled: false};
 	host.flights.set(attemptId, flight);
 	const {outcome, answer} = await host.workers.start({
-		attemptId, address, timeoutMs, contentType: exchange.contentType, body: exchange.body, onStart(abort) {
+		attemptId, address, timeoutMs, contentType: exchange.contentType, body: exchange.body, ...(resumes !== undefined && {resumes}), onStart(abort) {
 			flight.abort = abort;
 			if (flight.cancelled) {
 				abort();
--- a/packages/daemon/src/worker-client.ts
+++ b/packages/daemon/src/worker-client.ts
@@ -21,6 +21,8 @@
 	readonly timeoutMs: number;
 	/** Receives the function that aborts the request once it is on its way. */
 	readonly onStart?: (abort: () => void) => void;
+	/** Checkpointed attempt whose execution this one resumes. */
+	readonly resumes?: string;
 };
 
 export type AttemptResult = {readonly outcome: AttemptOutcome; readonly answer?: Answer};
@@ -30,7 +32,7 @@
 /** Errors of requests that cannot have reached the worker. */
 const unsentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
-const notRunCauses = new Set<string>(['slots-full', 'leaving', 'lease-lapsed', 'duplicate']);
+const notRunCauses = new Set<string>(['slots-full', 'leaving', 'lease-lapsed', 'duplicate', 'checkpoint-unknown']);
 
 function outcomeOfError(error: unknown): AttemptOutcome {
 	const code = error instanceof Error && 'code' in error ? String(error.code) : '';
@@ -52,6 +54,10 @@
 		return {outcome: {type: 'lost', cause: 'answer-incomplete'}};
 	}
 
+	if (headers['rosemaryquay-checkpointed'] !== undefined) {
+		return {outcome: {type: 'checkpointed'}};
+	}
+
 	if (status >= 400) {
 		return {outcome: {type: 'failed', status}};
 	}
@@ -75,7 +81,7 @@
 	}
 
 	async start(request: AttemptRequest): Promise<AttemptResult> {
-		const {attemptId, address, contentType, body, timeoutMs, onStart} = request;
+		const {attemptId, address, contentType, body, timeoutMs, onStart, resumes} = request;
 		try {
 			const response = await sendRequest(this.#pool(address), {
 				path: '/tasks',
@@ -85,6 +91,7 @@
 					[attemptHeader]: attemptId,
 					'rosemaryquay-holder': this.#holder,
 					'rosemaryquay-lease-ms': this.#leaseMs,
+					...(resumes !== undefined && {'rosemaryquay-resume': resumes}),
 				},
 				body,
 				headersTimeout: timeoutMs,
@@ -105,6 +112,16 @@
 		}
 	}
 
+	/** Asks a worker to save a task's progress and to end its attempt. */
+	async checkpoint(address: string, attemptId: string): Promise<boolean> {
+		return this.#control(address, `/tasks/${attemptId}/checkpoint`);
+	}
+
+	/** Asks a worker to slow a task down for a time. */
+	async throttle(address: string, attemptId: string, durationMs: number): Promise<boolean> {
+		return this.#control(address, `/tasks/${attemptId}/throttle`, {'rosemaryquay-throttle-ms': String(durationMs)});
+	}
+
 	/** Renews the leases of all tasks of this holder at a worker. */
 	async renewLease(address: string): Promise<boolean> {
 		try {
@@ -125,6 +142,17 @@
 		await Promise.all([...this.#pools.values()].map(async pool => pool.destroy()));
 	}
 
+	async #control(address: string, path: string, headers: Record<string, string> = {}): Promise<boolean> {
+		try {
+			const response = await this.#pool(address).request({path, method: 'POST', headers});
+			await response.body.dump();
+			return response.statusCode === 204;
+		} catch {
+			// The attempt goes on as it was; the reducer asks again.
+			return false;
+		}
+	}
+
 	#pool(address: string): Pool {
 		let pool = this.#pools.get(address);
 		if (pool === undefined) {
