--- /dev/null
+++ b/packages/core/src/deduplication/flush-claims.ts
@@ -0,0 +1,153 @@
+import {
+	claimRetentionMs, claimWriteIntervalMs, maximumClaimBucketsPerWrite, maximumClaimsPerBucket,
+} from '../constants.js';
+import {type Effect} from '../node/effect.js';
+import {type Node} from '../node/node.js';
+import {type Operation} from '../store/transaction.js';
+import {
+	type Bucket, type ClaimRecord, type ClaimUpdate, type Verdict,
+} from './deduplication.js';
+
+const emptyBucket: Bucket = {modRevision: 0, records: new Map()};
+
+type Rule = (records: Map<string, ClaimRecord>, record: ClaimRecord) => Verdict;
+
+const rules: Readonly<Record<ClaimUpdate['type'], Rule>> = {
+	claim(records, record) {
+		const known = records.get(record.key);
+		if (known !== undefined) {
+			return known.claim === record.claim ? {type: 'applied'} : {type: 'blocked', by: known};
+		}
+
+		if (records.size >= maximumClaimsPerBucket) {
+			return {type: 'rejected'};
+		}
+
+		records.set(record.key, record);
+		return {type: 'applied'};
+	},
+	settle(records, record) {
+		if (records.get(record.key)?.claim === record.claim) {
+			records.set(record.key, record);
+		}
+
+		return {type: 'applied'};
+	},
+	release(records, record) {
+		if (records.get(record.key)?.claim === record.claim) {
+			records.delete(record.key);
+		}
+
+		return {type: 'applied'};
+	},
+};
+
+function takeUpdates(node: Node): Map<string, ClaimUpdate[]> {
+	const taken = new Map<string, ClaimUpdate[]>();
+	for (const [id, update] of node.deduplication.pending) {
+		const updates = taken.get(update.storeKey);
+		if (updates !== undefined) {
+			updates.push(update);
+		} else if (taken.size < maximumClaimBucketsPerWrite) {
+			taken.set(update.storeKey, [update]);
+		} else {
+			break;
+		}
+
+		node.deduplication.pending.delete(id);
+	}
+
+	return taken;
+}
+
+function mayWrite(node: Node, at: number): boolean {
+	const {batch, pending, writeAt, retryAt} = node.deduplication;
+	if (batch !== undefined || pending.size === 0 || at < writeAt) {
+		return false;
+	}
+
+	return at >= retryAt || [...pending.values()].some(update => update.type === 'claim');
+}
+
+function applyUpdates(bucket: Bucket, updates: readonly ClaimUpdate[], wallAt: number): {results: Array<{update: ClaimUpdate; verdict: Verdict}>; records?: Map<string, ClaimRecord>} {
+	if (bucket.records === undefined) {
+		return {results: updates.map(update => ({update, verdict: {type: 'rejected'}}))};
+	}
+
+	const records = new Map<string, ClaimRecord>();
+	for (const [key, record] of bucket.records) {
+		if (record.deadlineAt + claimRetentionMs > wallAt) {
+			records.set(key, record);
+		}
+	}
+
+	return {records, results: updates.map(update => ({update, verdict: rules[update.type](records, update.record)}))};
+}
+
+function hasChanged(before: ReadonlyMap<string, ClaimRecord> | undefined, after: ReadonlyMap<string, ClaimRecord>): boolean {
+	if (before?.size !== after.size) {
+		return true;
+	}
+
+	for (const [key, record] of after) {
+		if (before.get(key) !== record) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/**
+ * Writes the waiting claim updates of this node in one transaction. At most one is in flight:
+ * updates that arrive meanwhile go into the next one. The transaction compares every bucket with
+ * the content that the verdicts were computed from, and reads the buckets when one has changed.
+ *
+ * @param node - the node, updated in place
+ * @param at - now, in milliseconds
+ * @returns at most one `store-transact`
+ * @example
+ * const effects = flushClaims(node, at);
+ */
+export function flushClaims(node: Node, at: number): Effect[] {
+	if (!mayWrite(node, at)) {
+		return [];
+	}
+
+	const {deduplication} = node;
+	const results: Array<{update: ClaimUpdate; verdict: Verdict}> = [];
+	const written = new Map<string, ReadonlyMap<string, ClaimRecord>>();
+	const taken = takeUpdates(node);
+	const success: Operation[] = [];
+	for (const [storeKey, updates] of taken) {
+		const bucket = deduplication.buckets.get(storeKey) ?? emptyBucket;
+		const applied = applyUpdates(bucket, updates, at + deduplication.clockOriginMs);
+		results.push(...applied.results);
+		if (applied.records !== undefined && hasChanged(bucket.records, applied.records)) {
+			written.set(storeKey, applied.records);
+			success.push({type: 'put', key: storeKey, value: JSON.stringify([...applied.records.values()])});
+		}
+	}
+
+	for (const {update} of results) {
+		update.sent += 1;
+	}
+
+	const storeKeys = [...taken.keys()];
+	const id = `${node.id}-${deduplication.nextBatch}`;
+	deduplication.nextBatch += 1;
+	deduplication.writeAt = at + claimWriteIntervalMs;
+	deduplication.batch = {
+		id, results, storeKeys, written,
+	};
+	return [
+		{type: 'count', counter: 'claim.written'},
+		{
+			type: 'store-transact', purpose: 'claim', id, transaction: {
+				compare: storeKeys.map(key => ({key, modRevision: deduplication.buckets.get(key)?.modRevision ?? 0})),
+				success,
+				failure: storeKeys.map(key => ({type: 'get', key})),
+			},
+		},
+	];
+}
--- /dev/null
+++ b/packages/core/src/deduplication/tick-claims.ts
@@ -0,0 +1,35 @@
+import {claimTimeoutMs} from '../constants.js';
+import {type Effect} from '../node/effect.js';
+import {type EventOf} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {endTask} from '../tasks/end-task.js';
+import {queueTask} from '../tasks/queue-task.js';
+import {flushClaims} from './flush-claims.js';
+
+/**
+ * Ends the wait of requests whose claim the store did not record in time, and writes waiting updates.
+ *
+ * @param node - the node, updated in place
+ * @param event - the tick
+ * @returns the effects
+ * @example
+ * tickClaims(node, {type: 'tick', at: 100});
+ */
+export function tickClaims(node: Node, event: EventOf<'tick'>): Effect[] {
+	const {at} = event;
+	const effects: Effect[] = [];
+	// The map is in order of admission, so the first claim that may still wait ends the search.
+	for (const taskId of node.deduplication.active.values()) {
+		const task = node.tasks.byId.get(taskId);
+		if (task !== undefined && task.arrivedAt + claimTimeoutMs > at) {
+			break;
+		}
+
+		if (task?.state === 'claiming') {
+			effects.push(...(task.repeatable ? queueTask(node, task, at) : endTask(node, task, {type: 'refused', reason: 'claim-unavailable'}, at)));
+		}
+	}
+
+	effects.push(...flushClaims(node, at));
+	return effects;
+}
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -1,29 +1,52 @@
+import {Heap} from 'heap-js';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {createSnapshot} from '../catalogue/create-snapshot.js';
 import {catalogueSchema} from '../catalogue/schema.js';
+import {initialRetryTokens} from '../constants.js';
 import {type Node} from './node.js';
 
 /**
  * Creates the state of an entry instance with an empty catalogue at revision 0.
  *
- * @param options - identifier, availability zone, and seed of the random generator
+ * @param options - identifier, availability zone, seed of the random generator, prefix of store keys, and
+ * milliseconds since the epoch at time 0 of the monotonic clock
  * @returns the node
  * @example
  * const node = createNode({id: 'entry-1', zone: 'zone-a', seed: 1});
  */
-export function createNode(options: {id: string; zone: string; seed?: number}): Node {
-	const {id, zone, seed = 1} = options;
+export function createNode(options: {id: string; zone: string; seed?: number; prefix?: string; clockOriginMs?: number}): Node {
+	const {
+		id, zone, seed = 1, prefix = 'rosemaryquay/', clockOriginMs = 0,
+	} = options;
 	return {
 		id,
 		zone,
 		random: xoroshiro128plus(seed),
 		snapshot: createSnapshot(catalogueSchema.parse({}), 0),
 		tasks: {
-			byId: new Map(), attempts: new Map(), nextAttempt: 1, shuttingDown: false, shutdownReported: false,
+			byId: new Map(), attempts: new Map(), shuttingDown: false, shutdownReported: false,
 		},
 		limits: {running: new Map()},
 		shares: {pools: new Map()},
-		placement: {workers: new Map(), byPool: new Map()},
+		placement: {
+			workers: new Map(), byPool: new Map(), subsets: new Map(), ejected: new Map(), withdrawn: new Set(), restoredAt: new Map(),
+		},
+		retries: {
+			tokens: initialRetryTokens, waiting: new Heap((a, b) => a.at - b.at || a.order - b.order), order: 0, failures: new Map(),
+		},
+		deduplication: {
+			prefix,
+			clockOriginMs,
+			pending: new Map(),
+			buckets: new Map(),
+			active: new Map(),
+			answers: new Map(),
+			answersLength: 0,
+			nextBatch: 1,
+			writeAt: Number.NEGATIVE_INFINITY,
+			retryAt: Number.NEGATIVE_INFINITY,
+			conflicts: 0,
+		},
 		freshness: {confirmedAt: Number.NEGATIVE_INFINITY},
 		membership: {
 			peers: [], members: new Map(), sequence: 0, sentAt: Number.NEGATIVE_INFINITY,
--- a/packages/core/src/node/event.ts
+++ b/packages/core/src/node/event.ts
@@ -3,6 +3,7 @@
  * process's monotonic clock; the reducer has no clock of its own.
  */
 import {type Snapshot} from '../catalogue/create-snapshot.js';
+import {type RecordedAnswer} from '../deduplication/deduplication.js';
 import {type Message} from '../membership/message.js';
 import {type Listing, type StoreOutcome, type TransactionResult} from '../store/transaction.js';
 
@@ -13,7 +14,7 @@
 	/** SHA-256 hash of the presented key, hexadecimal. */
 	readonly keyHash?: string;
 	readonly idempotencyKey?: string;
-	/** Hash of method, queue and body; distinguishes reuse of an idempotency key. */
+	/** Hash of queue and body; distinguishes reuse of an idempotency key and recognises jobs that fail everywhere. */
 	readonly fingerprint?: string;
 	readonly bodyBytes: number;
 	/** Deadline that the caller asked for, relative to arrival. */
@@ -26,10 +27,11 @@
  * sent and no whole answer came back.
  */
 export type AttemptOutcome =
-	| {readonly type: 'succeeded'}
+	/** `answer` is present for requests with an idempotency key, unless it is too long to keep. */
+	| {readonly type: 'succeeded'; readonly answer?: RecordedAnswer}
 	| {readonly type: 'not-started'; readonly cause: 'connection-refused' | 'slots-full' | 'leaving' | 'lease-lapsed' | 'duplicate'}
 	| {readonly type: 'failed'; readonly status: number}
-	| {readonly type: 'lost'; readonly cause: 'connection-lost' | 'answer-incomplete' | 'timeout'};
+	| {readonly type: 'lost'; readonly cause: 'connection-lost' | 'answer-incomplete' | 'answer-mismatched' | 'timeout'};
 
 /** An upstream instance in the platform's instance list; one worker runs on each. */
 export type ListedInstance = {
--- a/packages/core/src/node/node.ts
+++ b/packages/core/src/node/node.ts
@@ -5,9 +5,11 @@
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {type Snapshot} from '../catalogue/create-snapshot.js';
 import {type WorkClass} from '../catalogue/schema.js';
+import {type Deduplication} from '../deduplication/deduplication.js';
 import {type Limits} from '../limits/limits.js';
 import {type Membership} from '../membership/membership.js';
 import {type Placement} from '../placement/placement.js';
+import {type Retries} from '../retries/retries.js';
 import {type Shares} from '../shares/shares.js';
 
 /** A caller's request while this node is responsible for it. */
@@ -22,8 +24,19 @@
 	readonly fingerprint?: string;
 	readonly arrivedAt: number;
 	readonly deadlineAt: number;
-	state: 'claiming' | 'queued' | 'running';
+	/** `claiming`: waits for its claim. `waiting`: waits for the time of its next attempt. */
+	state: 'claiming' | 'queued' | 'running' | 'waiting';
 	attemptsStarted: number;
+	/** Attempts that workers refused before running them. */
+	attemptsUnstarted: number;
+	/** An attempt may have run and not been answered. */
+	mayHaveRun: boolean;
+	/** The store holds its claim. */
+	claimed: boolean;
+	/** The caller has been refused or has gone; the running attempt keeps its slot until it ends. */
+	abandoned: boolean;
+	/** Workers on which an attempt failed. */
+	readonly failedWorkers: string[];
 	attemptId?: string;
 };
 
@@ -39,7 +52,6 @@
 export type Tasks = {
 	readonly byId: Map<string, Task>;
 	readonly attempts: Map<string, Attempt>;
-	nextAttempt: number;
 	shuttingDown: boolean;
 	shutdownReported: boolean;
 };
@@ -58,6 +70,8 @@
 	readonly limits: Limits;
 	readonly shares: Shares;
 	readonly placement: Placement;
+	readonly retries: Retries;
+	readonly deduplication: Deduplication;
 	readonly freshness: Freshness;
 	readonly membership: Membership;
 };
--- a/packages/core/src/node/reduce.ts
+++ b/packages/core/src/node/reduce.ts
@@ -1,10 +1,15 @@
 import {loadCatalogue} from '../catalogue/load-catalogue.js';
+import {resolveClaims} from '../deduplication/resolve-claims.js';
+import {tickClaims} from '../deduplication/tick-claims.js';
 import {confirmConfiguration} from '../freshness/confirm-configuration.js';
 import {receiveMessage} from '../membership/receive-message.js';
 import {recordPeers} from '../membership/record-peers.js';
 import {sendSummary} from '../membership/send-summary.js';
 import {recordInstances} from '../placement/record-instances.js';
 import {recordUsage} from '../placement/record-usage.js';
+import {recordZones} from '../placement/record-zones.js';
+import {updateSubsets} from '../placement/update-subsets.js';
+import {releaseRetries} from '../retries/release-retries.js';
 import {admitRequest} from '../tasks/admit-request.js';
 import {beginShutdown} from '../tasks/begin-shutdown.js';
 import {cancelRequest} from '../tasks/cancel-request.js';
@@ -17,7 +22,9 @@
 type Handler<Type extends Event['type']> = (node: Node, event: EventOf<Type>) => Effect[];
 
 /** Handlers of store answers by the part that asked. */
-const transactionHandlers: Partial<Record<Purpose, Handler<'store-transacted'>>> = {};
+const transactionHandlers: Partial<Record<Purpose, Handler<'store-transacted'>>> = {
+	claim: resolveClaims,
+};
 
 const listingHandlers: Partial<Record<Purpose, Handler<'store-listed'>>> = {};
 
@@ -26,15 +33,15 @@
 	'request-arrived': [admitRequest],
 	'request-cancelled': [cancelRequest],
 	'attempt-finished': [finishAttempt],
-	'catalogue-loaded': [loadCatalogue],
+	'catalogue-loaded': [loadCatalogue, recordZones],
 	'configuration-confirmed': [confirmConfiguration],
 	'store-transacted': [(node, event) => transactionHandlers[event.purpose]?.(node, event) ?? []],
 	'store-listed': [(node, event) => listingHandlers[event.purpose]?.(node, event) ?? []],
 	'instances-listed': [recordInstances],
 	'usage-reported': [recordUsage],
-	'peers-listed': [recordPeers],
+	'peers-listed': [recordPeers, updateSubsets],
 	'peer-received': [receiveMessage],
-	tick: [tickTasks, sendSummary],
+	tick: [tickClaims, releaseRetries, tickTasks, sendSummary],
 	'shutdown-requested': [beginShutdown],
 };
 
--- a/packages/core/src/placement/choose-worker.ts
+++ b/packages/core/src/placement/choose-worker.ts
@@ -1,41 +1,91 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
-import {type Node} from '../node/node.js';
+import {maximumScannedWorkers} from '../constants.js';
+import {type Node, type Task} from '../node/node.js';
+import {countRoom} from './count-room.js';
 import {type Worker} from './placement.js';
 
 const choices = 2;
 
-function isEligible(node: Node, worker: Worker, slots: number): boolean {
-	const {instance} = worker;
-	const withdrawn = node.snapshot.catalogue.zones[instance.zone]?.withdrawn ?? false;
-	return instance.state === 'live' && !withdrawn && worker.running < slots;
+type Demand = {readonly slots: number; readonly repeatable: boolean; readonly at: number; readonly avoid: readonly string[]};
+
+type Candidate = {readonly worker: Worker; readonly room: number};
+
+function better(node: Node, best: Candidate | undefined, worker: Worker | undefined, demand: Demand): Candidate | undefined {
+	if (worker === undefined || demand.avoid.includes(worker.instance.id)) {
+		return best;
+	}
+
+	const room = countRoom(node, worker, demand);
+	return room > (best?.room ?? 0) ? {worker, room} : best;
+}
+
+function chooseAmong(node: Node, workers: readonly Worker[], demand: Demand): Worker | undefined {
+	if (workers.length === 0) {
+		return undefined;
+	}
+
+	let best: Candidate | undefined;
+	for (let choice = 0; choice < choices; choice++) {
+		best = better(node, best, workers[uniformInt(node.random, 0, workers.length - 1)], demand);
+	}
+
+	if (best !== undefined) {
+		return best.worker;
+	}
+
+	const offset = uniformInt(node.random, 0, workers.length - 1);
+	const count = Math.min(workers.length, maximumScannedWorkers);
+	for (let step = 0; step < count; step++) {
+		best = better(node, best, workers[(offset + step) % workers.length], demand);
+	}
+
+	return best?.worker;
+}
+
+/** A probe that is due goes first: an ejected worker has no free slots to win a comparison with. */
+function chooseProbe(node: Node, pool: string, workers: readonly Worker[], demand: Demand): Worker | undefined {
+	if (!demand.repeatable || (node.placement.ejected.get(pool) ?? 0) === 0) {
+		return undefined;
+	}
+
+	for (const worker of workers.slice(0, maximumScannedWorkers)) {
+		if (worker.health === 'ejected' && !demand.avoid.includes(worker.instance.id) && countRoom(node, worker, demand) > 0) {
+			return worker;
+		}
+	}
+
+	return undefined;
 }
 
 /**
- * Chooses a worker of a pool by the power of two random choices.
+ * Chooses a worker for a task: two random choices by free slots in the node's own availability zone,
+ * then a bounded search, then the other availability zones. Workers on which the task has failed
+ * come last.
  *
  * @param node - the node; its random generator advances
- * @param pool - name of the pool
- * @returns the less loaded of two eligible workers, or `undefined` when there is none
+ * @param task - the task
+ * @param at - now, in milliseconds
+ * @returns the worker, or `undefined` when none has room
  * @example
- * const worker = chooseWorker(node, 'web');
+ * const worker = chooseWorker(node, task, at);
  */
-export function chooseWorker(node: Node, pool: string): Worker | undefined {
-	const slots = node.snapshot.catalogue.pools[pool]?.limits.slotsPerInstance ?? 0;
-	const eligible: Worker[] = [];
-	for (const id of node.placement.byPool.get(pool) ?? []) {
-		const worker = node.placement.workers.get(id);
-		if (worker !== undefined && isEligible(node, worker, slots)) {
-			eligible.push(worker);
-		}
+export function chooseWorker(node: Node, task: Pick<Task, 'pool' | 'repeatable' | 'failedWorkers'>, at: number): Worker | undefined {
+	const subset = node.placement.subsets.get(task.pool);
+	if (subset === undefined) {
+		return undefined;
 	}
 
-	let best: Worker | undefined;
-	for (let choice = 0; choice < choices && eligible.length > 0; choice++) {
-		const candidate = eligible[uniformInt(node.random, 0, eligible.length - 1)];
-		if (candidate !== undefined && (best === undefined || candidate.running < best.running)) {
-			best = candidate;
-		}
+	const slots = node.snapshot.catalogue.pools[task.pool]?.limits.slotsPerInstance ?? 0;
+	const demand = {
+		slots, repeatable: task.repeatable, at, avoid: task.failedWorkers,
+	};
+	const {own, other} = subset;
+	const worker = chooseProbe(node, task.pool, own, demand) ?? chooseProbe(node, task.pool, other, demand)
+		?? chooseAmong(node, own, demand) ?? chooseAmong(node, other, demand);
+	if (worker !== undefined || demand.avoid.length === 0) {
+		return worker;
 	}
 
-	return best;
+	const anywhere = {...demand, avoid: []};
+	return chooseAmong(node, own, anywhere) ?? chooseAmong(node, other, anywhere);
 }
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -3,16 +3,47 @@
  */
 import {type ListedInstance} from '../node/event.js';
 
+/** `ejected`: gets nothing until `ejectedUntil`, then one probe at a time. */
+export type Health = 'healthy' | 'ejected';
+
 export type Worker = {
-	readonly instance: ListedInstance;
+	instance: ListedInstance;
 	/** Slots in use by tasks of this node. */
 	running: number;
 	/** Slots in use by all, from the worker's last report. */
 	reported: number;
+	/** When the report arrived, and the slots in use by this node then. */
+	reportedAt: number;
+	runningAtReport: number;
+	/** Moving average of failed attempts, 0 to 1. */
+	failureRate: number;
+	health: Health;
+	ejectedUntil: number;
+	/** Ejections in a row. */
+	ejections: number;
+	probesPassed: number;
+	/** When the worker passed its probes; it returns to all its slots over some time. */
+	returnedAt: number;
+	/** When the worker last said that it is leaving. */
+	leavingAt: number;
+};
+
+/** Workers of one pool that this node sends to. */
+export type Subset = {
+	/** Workers in the node's own availability zone. */
+	readonly own: Worker[];
+	/** Workers in other availability zones. */
+	readonly other: Worker[];
 };
 
 export type Placement = {
 	readonly workers: Map<string, Worker>;
 	/** Identifiers of the workers of each pool. */
 	readonly byPool: Map<string, string[]>;
+	readonly subsets: Map<string, Subset>;
+	/** Ejected workers by pool. */
+	readonly ejected: Map<string, number>;
+	/** Withdrawn availability zones, and when others were last restored. */
+	readonly withdrawn: Set<string>;
+	readonly restoredAt: Map<string, number>;
 };
--- a/packages/core/src/placement/record-instances.ts
+++ b/packages/core/src/placement/record-instances.ts
@@ -1,9 +1,31 @@
 import {type Effect} from '../node/effect.js';
-import {type EventOf} from '../node/event.js';
+import {type EventOf, type ListedInstance} from '../node/event.js';
 import {type Node} from '../node/node.js';
+import {createWorker} from './create-worker.js';
+import {type Worker} from './placement.js';
+import {updateSubsets} from './update-subsets.js';
+
+function isSame(a: ListedInstance, b: ListedInstance | undefined): boolean {
+	return a.id === b?.id && a.state === b.state && a.pool === b.pool && a.address === b.address && a.zone === b.zone && a.rack === b.rack;
+}
+
+function isUnchanged(node: Node, instances: readonly ListedInstance[]): boolean {
+	return node.placement.workers.size === instances.length
+		&& instances.every(instance => isSame(instance, node.placement.workers.get(instance.id)?.instance));
+}
+
+/** A worker that vanished from the list keeps its count while tasks of this node run on it. */
+function keepVanished(workers: Map<string, Worker>, known: ReadonlyMap<string, Worker>): void {
+	for (const [id, worker] of known) {
+		if (worker.running > 0 && !workers.has(id)) {
+			worker.instance = {...worker.instance, state: 'leaving'};
+			workers.set(id, worker);
+		}
+	}
+}
 
 /**
- * Replaces the worker table with a new instance list; counts of known workers are kept.
+ * Replaces the worker table with a new instance list; what is known of listed workers is kept.
  *
  * @param node - the node, updated in place
  * @param event - the new list
@@ -12,16 +34,26 @@
  * recordInstances(node, {type: 'instances-listed', at: 0, instances: []});
  */
 export function recordInstances(node: Node, event: EventOf<'instances-listed'>): Effect[] {
-	const known = new Map(node.placement.workers);
-	node.placement.workers.clear();
-	node.placement.byPool.clear();
+	const {workers, byPool} = node.placement;
+	if (isUnchanged(node, event.instances)) {
+		return [];
+	}
+
+	const known = new Map(workers);
+	workers.clear();
+	byPool.clear();
 	for (const instance of event.instances) {
-		const previous = known.get(instance.id);
-		node.placement.workers.set(instance.id, {instance, running: previous?.running ?? 0, reported: previous?.reported ?? 0});
-		const ids = node.placement.byPool.get(instance.pool) ?? [];
-		ids.push(instance.id);
-		node.placement.byPool.set(instance.pool, ids);
+		const worker = known.get(instance.id) ?? createWorker(instance);
+		worker.instance = instance;
+		workers.set(instance.id, worker);
+		const ids = byPool.get(instance.pool);
+		if (ids === undefined) {
+			byPool.set(instance.pool, [instance.id]);
+		} else {
+			ids.push(instance.id);
+		}
 	}
 
-	return [];
+	keepVanished(workers, known);
+	return updateSubsets(node);
 }
--- /dev/null
+++ b/packages/core/src/placement/record-outcome.ts
@@ -0,0 +1,97 @@
+import {
+	ejectionFailureRate, ejectionMs, failureRateWeight, maximumEjectedPart, maximumEjectionMs, probesToReturn,
+} from '../constants.js';
+import {type Effect} from '../node/effect.js';
+import {type AttemptOutcome} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {type Worker} from './placement.js';
+
+type Assessment = 'good' | 'bad' | 'neutral';
+
+const causes: Readonly<Record<Extract<AttemptOutcome, {type: 'not-started'}>['cause'], Assessment>> = {
+	'connection-refused': 'bad',
+	'slots-full': 'neutral',
+	leaving: 'neutral',
+	'lease-lapsed': 'neutral',
+	duplicate: 'neutral',
+};
+
+function assess(outcome: AttemptOutcome): Assessment {
+	if (outcome.type === 'not-started') {
+		return causes[outcome.cause];
+	}
+
+	return outcome.type === 'succeeded' ? 'good' : 'bad';
+}
+
+function mayEject(node: Node, pool: string): boolean {
+	const size = node.placement.byPool.get(pool)?.length ?? 0;
+	const limit = size < 2 ? 0 : Math.max(1, Math.floor(size * maximumEjectedPart));
+	return (node.placement.ejected.get(pool) ?? 0) < limit;
+}
+
+function extendEjection(worker: Worker, at: number): void {
+	worker.ejectedUntil = at + Math.min(maximumEjectionMs, ejectionMs * (2 ** worker.ejections));
+	worker.ejections += 1;
+	worker.probesPassed = 0;
+}
+
+function recordProbe(node: Node, worker: Worker, good: boolean, at: number): Effect[] {
+	if (!good) {
+		extendEjection(worker, at);
+		return [];
+	}
+
+	worker.probesPassed += 1;
+	if (worker.probesPassed < probesToReturn) {
+		return [];
+	}
+
+	const {pool} = worker.instance;
+	worker.health = 'healthy';
+	worker.failureRate = 0;
+	worker.returnedAt = at;
+	node.placement.ejected.set(pool, Math.max(0, (node.placement.ejected.get(pool) ?? 1) - 1));
+	return [{type: 'count', counter: 'worker.returned'}];
+}
+
+/**
+ * Records the outcome of an attempt on a worker: ejects a worker that fails most of what it runs,
+ * unless too large a part of its pool is ejected, and returns one that passes its probes.
+ *
+ * @param node - the node, updated in place
+ * @param workerId - the worker; an unknown one is ignored
+ * @param outcome - how the attempt ended
+ * @param at - now, in milliseconds
+ * @returns counts
+ * @example
+ * recordOutcome(node, 'w-1', {type: 'succeeded'}, at);
+ */
+export function recordOutcome(node: Node, workerId: string, outcome: AttemptOutcome, at: number): Effect[] {
+	const worker = node.placement.workers.get(workerId);
+	const assessment = assess(outcome);
+	if (worker === undefined || assessment === 'neutral') {
+		return [];
+	}
+
+	const good = assessment === 'good';
+	if (worker.health === 'ejected') {
+		// Work that was running when the worker was ejected is no probe.
+		return at < worker.ejectedUntil ? [] : recordProbe(node, worker, good, at);
+	}
+
+	worker.failureRate += failureRateWeight * ((good ? 0 : 1) - worker.failureRate);
+	if (good && worker.failureRate < failureRateWeight) {
+		worker.ejections = 0;
+	}
+
+	const {pool} = worker.instance;
+	if (worker.failureRate < ejectionFailureRate || !mayEject(node, pool)) {
+		return [];
+	}
+
+	worker.health = 'ejected';
+	extendEjection(worker, at);
+	node.placement.ejected.set(pool, (node.placement.ejected.get(pool) ?? 0) + 1);
+	return [{type: 'count', counter: 'worker.ejected'}];
+}
--- /dev/null
+++ b/packages/core/src/placement/record-refusal.ts
@@ -0,0 +1,36 @@
+import {type Effect} from '../node/effect.js';
+import {type AttemptOutcome} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {type Worker} from './placement.js';
+
+type Cause = Extract<AttemptOutcome, {type: 'not-started'}>['cause'];
+
+const corrections: Readonly<Partial<Record<Cause, (node: Node, worker: Worker, at: number) => Effect[]>>> = {
+	'slots-full'(node, worker, at) {
+		worker.reported = node.snapshot.catalogue.pools[worker.instance.pool]?.limits.slotsPerInstance ?? 0;
+		worker.reportedAt = at;
+		worker.runningAtReport = worker.running;
+		return [];
+	},
+	leaving(_node, worker, at) {
+		worker.leavingAt = at;
+		return [{type: 'count', counter: 'worker.leaving'}];
+	},
+};
+
+/**
+ * Corrects what is known of a worker after it refused an attempt: a full one is full until its next
+ * report, and one that is leaving gets nothing although the instance list may lag.
+ *
+ * @param node - the node, updated in place
+ * @param workerId - the worker; an unknown one is ignored
+ * @param cause - why the worker refused
+ * @param at - now, in milliseconds
+ * @returns counts
+ * @example
+ * recordRefusal(node, 'w-1', 'leaving', at);
+ */
+export function recordRefusal(node: Node, workerId: string, cause: Cause, at: number): Effect[] {
+	const worker = node.placement.workers.get(workerId);
+	return worker === undefined ? [] : corrections[cause]?.(node, worker, at) ?? [];
+}
--- a/packages/core/src/placement/record-usage.ts
+++ b/packages/core/src/placement/record-usage.ts
@@ -16,6 +16,8 @@
 		const worker = node.placement.workers.get(usage.workerId);
 		if (worker !== undefined) {
 			worker.reported = usage.runningSlots;
+			worker.reportedAt = event.at;
+			worker.runningAtReport = worker.running;
 		}
 	}
 
--- /dev/null
+++ b/packages/core/src/retries/compute-backoff.ts
@@ -0,0 +1,18 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {maximumRetryBackoffMs, retryBackoffMs} from '../constants.js';
+
+/**
+ * Computes the delay before a retry: exponential, shortened at random by up to half so that
+ * requests that failed together do not return together.
+ *
+ * @param random - the generator, which advances
+ * @param attempts - attempts made so far, at least 1
+ * @returns the delay in milliseconds
+ * @example
+ * const delayMs = computeBackoff(node.random, 1);
+ */
+export function computeBackoff(random: RandomGenerator, attempts: number): number {
+	const longest = Math.min(maximumRetryBackoffMs, retryBackoffMs * (2 ** (attempts - 1)));
+	return uniformInt(random, Math.ceil(longest / 2), longest);
+}
--- /dev/null
+++ b/packages/core/src/retries/retries.ts
@@ -0,0 +1,28 @@
+/**
+ * State of the retries of one node.
+ */
+import {type Heap} from 'heap-js';
+
+/** A task that waits for its next attempt. */
+export type WaitingRetry = {
+	readonly at: number;
+	readonly order: number;
+	readonly taskId: string;
+};
+
+/** Recent failures of one job, known by queue and fingerprint. */
+export type JobFailures = {
+	readonly since: number;
+	count: number;
+	readonly workers: Set<string>;
+	parkedUntil?: number;
+};
+
+export type Retries = {
+	/** Retries that may be made now. */
+	tokens: number;
+	readonly waiting: Heap<WaitingRetry>;
+	order: number;
+	/** Failures by queue and fingerprint, oldest first. */
+	readonly failures: Map<string, JobFailures>;
+};
--- /dev/null
+++ b/packages/core/src/retries/schedule-retry.ts
@@ -0,0 +1,16 @@
+import {type Node, type Task} from '../node/node.js';
+
+/**
+ * Lets a task wait for its next attempt.
+ *
+ * @param node - the node, updated in place
+ * @param task - a task without a running attempt
+ * @param at - time of the next attempt, in milliseconds
+ * @example
+ * scheduleRetry(node, task, at + delayMs);
+ */
+export function scheduleRetry(node: Node, task: Task, at: number): void {
+	task.state = 'waiting';
+	node.retries.waiting.push({at, order: node.retries.order, taskId: task.id});
+	node.retries.order += 1;
+}
--- a/packages/core/src/tasks/admit-request.ts
+++ b/packages/core/src/tasks/admit-request.ts
@@ -4,8 +4,10 @@
 import {type Queue} from '../catalogue/schema.js';
 import {isFresh} from '../freshness/is-fresh.js';
 import {type Reason} from '../refusal.js';
-import {enqueueTask} from '../shares/enqueue-task.js';
-import {dispatchPool} from './dispatch-pool.js';
+import {beginClaim} from '../deduplication/begin-claim.js';
+import {isParked} from '../retries/is-parked.js';
+import {listFailedWorkers} from '../retries/list-failed-workers.js';
+import {queueTask} from './queue-task.js';
 import {refuseTask} from './refuse-task.js';
 
 type Admission = {readonly ok: true; readonly queue: Queue; readonly team: string} | {readonly ok: false; readonly reason: Reason};
@@ -45,7 +47,8 @@
 	return arrival.bodyBytes > queue.limits.bodyBytes ? {ok: false, reason: 'body-too-large'} : {ok: true, queue, team: found.team};
 }
 
-function createTask(arrival: Arrival, admission: Admission & {ok: true}, pool: string, at: number): Task {
+function createTask(node: Node, event: EventOf<'request-arrived'>, admission: Admission & {ok: true}, pool: string): Task {
+	const {arrival, at} = event;
 	const {queue, team} = admission;
 	return {
 		id: arrival.id,
@@ -58,13 +61,19 @@
 		...(arrival.fingerprint !== undefined && {fingerprint: arrival.fingerprint}),
 		arrivedAt: at,
 		deadlineAt: at + Math.min(arrival.deadlineMs ?? queue.limits.deadlineMs, queue.limits.deadlineMs),
-		state: 'queued',
+		state: 'waiting',
 		attemptsStarted: 0,
+		attemptsUnstarted: 0,
+		mayHaveRun: false,
+		claimed: false,
+		abandoned: false,
+		failedWorkers: listFailedWorkers(node, arrival),
 	};
 }
 
 /**
- * Admits a request: checks configuration, queue, key and size, queues a task and starts it if it can.
+ * Admits a request: checks configuration, queue, key and size, claims its idempotency key, queues a task
+ * and starts it if it can.
  *
  * @param node - the node, updated in place
  * @param event - the arrival
@@ -84,11 +93,11 @@
 		return [refuseTask(arrival.id, 'no-worker-available')];
 	}
 
-	const task = createTask(arrival, admission, pool, at);
-	if (!enqueueTask(node, task)) {
-		return [refuseTask(arrival.id, 'queue-full')];
+	const task = createTask(node, event, admission, pool);
+	if (isParked(node, task, at)) {
+		return [refuseTask(arrival.id, 'request-parked')];
 	}
 
 	node.tasks.byId.set(task.id, task);
-	return [{type: 'count', counter: 'request.accepted'}, ...dispatchPool(node, pool, at)];
+	return task.idempotencyKey === undefined ? queueTask(node, task, at) : beginClaim(node, task, at);
 }
--- a/packages/core/src/tasks/cancel-request.ts
+++ b/packages/core/src/tasks/cancel-request.ts
@@ -1,12 +1,13 @@
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
-import {removeTask} from '../shares/remove-task.js';
 import {dispatchPool} from './dispatch-pool.js';
 import {endAttempt} from './end-attempt.js';
+import {endTask} from './end-task.js';
 
 /**
- * Frees what a request holds after its caller has gone away.
+ * Frees what a request holds after its caller has gone away. A running attempt that may not be
+ * repeated is not interrupted and keeps its slot until it ends.
  *
  * @param node - the node, updated in place
  * @param event - the cancellation; an unknown request is ignored
@@ -16,19 +17,23 @@
  */
 export function cancelRequest(node: Node, event: EventOf<'request-cancelled'>): Effect[] {
 	const task = node.tasks.byId.get(event.taskId);
-	if (task === undefined) {
+	if (task === undefined || task.abandoned) {
 		return [];
 	}
 
 	const effects: Effect[] = [];
-	removeTask(node, task);
 	if (task.attemptId !== undefined) {
+		if (!task.repeatable) {
+			task.abandoned = true;
+			return [];
+		}
+
+		task.mayHaveRun = true;
 		const ended = endAttempt(node, task.attemptId);
 		if (ended !== undefined) {
 			effects.push({type: 'cancel-attempt', attemptId: ended.attempt.id, workerId: ended.attempt.workerId});
 		}
 	}
 
-	node.tasks.byId.delete(task.id);
-	return [...effects, ...dispatchPool(node, task.pool, event.at)];
+	return [...effects, ...endTask(node, task, {type: 'caller-gone'}, event.at), ...dispatchPool(node, task.pool, event.at)];
 }
--- a/packages/core/src/tasks/dispatch-pool.ts
+++ b/packages/core/src/tasks/dispatch-pool.ts
@@ -1,3 +1,4 @@
+import {abandonedAttemptMs, tickIntervalMs} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node, type Task} from '../node/node.js';
 import {isFresh} from '../freshness/is-fresh.js';
@@ -6,10 +7,11 @@
 import {type Worker} from '../placement/placement.js';
 import {nextTask} from '../shares/next-task.js';
 import {removeTask} from '../shares/remove-task.js';
+import {endTask} from './end-task.js';
 
 function startAttempt(node: Node, task: Task, worker: Worker, at: number): Effect[] {
-	const attemptId = `${node.id}-${node.tasks.nextAttempt}`;
-	node.tasks.nextAttempt += 1;
+	const attemptId = `${node.id}-${task.id}-${task.attemptsStarted + 1}`;
+	const graceMs = task.repeatable ? 2 * tickIntervalMs : abandonedAttemptMs;
 	removeTask(node, task);
 	acquireSlot(node, task.team);
 	worker.running += 1;
@@ -22,7 +24,13 @@
 	return [
 		{type: 'count', counter: 'attempt.started'},
 		{
-			type: 'start-attempt', taskId: task.id, attemptId, workerId: worker.instance.id, address: worker.instance.address, timeoutMs: task.deadlineAt - at,
+			type: 'start-attempt',
+			taskId: task.id,
+			attemptId,
+			workerId: worker.instance.id,
+			address: worker.instance.address,
+			timeoutMs: task.deadlineAt - at + graceMs,
+			keepAnswer: task.idempotencyKey !== undefined,
 		},
 	];
 }
@@ -49,7 +57,12 @@
 			return effects;
 		}
 
-		const worker = chooseWorker(node, pool);
+		if (task.deadlineAt <= at) {
+			effects.push(...endTask(node, task, {type: 'refused', reason: 'deadline-exceeded'}, at));
+			continue;
+		}
+
+		const worker = chooseWorker(node, task, at);
 		if (worker === undefined) {
 			return effects;
 		}
--- a/packages/core/src/tasks/finish-attempt.ts
+++ b/packages/core/src/tasks/finish-attempt.ts
@@ -1,44 +1,69 @@
+import {maximumAttempts, maximumUnstartedAttempts} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type AttemptOutcome, type EventOf} from '../node/event.js';
 import {type Node, type Task} from '../node/node.js';
-import {enqueueTask} from '../shares/enqueue-task.js';
+import {recordOutcome} from '../placement/record-outcome.js';
+import {recordRefusal} from '../placement/record-refusal.js';
+import {earnRetry} from '../retries/earn-retry.js';
+import {forgetFailures} from '../retries/forget-failures.js';
+import {recordFailure} from '../retries/record-failure.js';
 import {dispatchPool} from './dispatch-pool.js';
 import {endAttempt} from './end-attempt.js';
-import {refuseTask} from './refuse-task.js';
+import {endTask, type TaskEnding} from './end-task.js';
+import {retryTask} from './retry-task.js';
 
-const maximumAttempts = 3;
+type Ended = {readonly task: Task; readonly workerId: string; readonly attemptId: string; readonly at: number};
 
-function requeue(node: Node, task: Task): boolean {
-	return task.attemptsStarted < maximumAttempts && enqueueTask(node, task);
-}
+type OutcomeHandler<Type extends AttemptOutcome['type']> = (node: Node, ended: Ended, outcome: Extract<AttemptOutcome, {type: Type}>) => Effect[];
+
+/** Refusals that correct this node's view of a worker; the corrected view keeps them rare, so they take no retry from the budget. */
+const corrections = new Set<string>(['slots-full', 'leaving', 'lease-lapsed']);
 
-type OutcomeHandler<Type extends AttemptOutcome['type']> = (node: Node, task: Task, outcome: Extract<AttemptOutcome, {type: Type}>, attemptId: string) => Effect[];
+function finishFailed(node: Node, ended: Ended, options: {ending: TaskEnding; counter: 'retry.failed' | 'retry.lost'}): Effect[] {
+	const {task, workerId, at} = ended;
+	const {ending, counter} = options;
+	task.mayHaveRun = true;
+	task.failedWorkers.push(workerId);
+	const counts: Effect[] = recordFailure(node, task, workerId, at) ? [{type: 'count', counter: 'job.parked'}] : [];
+	if (at >= task.deadlineAt) {
+		return [...counts, ...endTask(node, task, {type: 'refused', reason: 'deadline-exceeded-running'}, at)];
+	}
+
+	const repeat = task.repeatable && task.attemptsStarted - task.attemptsUnstarted < maximumAttempts;
+	return [...counts, ...(repeat ? retryTask(node, task, {ending, counter, budgeted: true}, at) : endTask(node, task, ending, at))];
+}
 
 const outcomeHandlers: {[Type in AttemptOutcome['type']]: OutcomeHandler<Type>} = {
-	succeeded(_node, task, _outcome, attemptId) {
-		return [{type: 'count', counter: 'request.answered'}, {type: 'answer', taskId: task.id, attemptId}];
+	succeeded(node, {task, attemptId, at}, {answer}) {
+		earnRetry(node);
+		forgetFailures(node, task);
+		return endTask(node, task, {type: 'answered', attemptId, ...(answer !== undefined && {answer})}, at);
 	},
-	'not-started'(node, task) {
-		return requeue(node, task) ? [{type: 'count', counter: 'retry.not-started'}] : [refuseTask(task.id, 'no-worker-available')];
-	},
-	failed(node, task, outcome) {
-		if (task.repeatable && requeue(node, task)) {
-			return [{type: 'count', counter: 'retry.failed'}];
+	'not-started'(node, ended, {cause}) {
+		const {task, workerId, at} = ended;
+		if (cause === 'duplicate') {
+			// The worker has seen this attempt before: an earlier copy of it may be running.
+			return finishFailed(node, ended, {ending: {type: 'refused', reason: 'worker-lost'}, counter: 'retry.lost'});
 		}
 
-		return [refuseTask(task.id, 'worker-failed', {detail: `The worker answered with status ${outcome.status}`})];
+		task.attemptsUnstarted += 1;
+		const counts = recordRefusal(node, workerId, cause, at);
+		const ending: TaskEnding = {type: 'refused', reason: 'no-worker-available'};
+		return [...counts, ...(task.attemptsUnstarted >= maximumUnstartedAttempts
+			? endTask(node, task, ending, at)
+			: retryTask(node, task, {ending, counter: 'retry.not-started', budgeted: !corrections.has(cause)}, at))];
 	},
-	lost(node, task) {
-		if (task.repeatable && requeue(node, task)) {
-			return [{type: 'count', counter: 'retry.lost'}];
-		}
-
-		return [refuseTask(task.id, 'worker-lost')];
+	failed: (node, ended, {status}) => finishFailed(node, ended, {
+		ending: {type: 'refused', reason: 'worker-failed', detail: `The worker answered with status ${status}`}, counter: 'retry.failed',
+	}),
+	lost(node, ended, {cause}) {
+		const counts: Effect[] = cause === 'answer-mismatched' ? [{type: 'count', counter: 'attempt.mismatched-answer'}] : [];
+		return [...counts, ...finishFailed(node, ended, {ending: {type: 'refused', reason: 'worker-lost'}, counter: 'retry.lost'})];
 	},
 };
 
 /**
- * Ends an attempt: answers the caller, queues the task again or refuses it.
+ * Ends an attempt: answers the caller, schedules a retry or refuses the request.
  *
  * @param node - the node, updated in place
  * @param event - how the attempt ended; an attempt that has already ended is counted and ignored
@@ -47,17 +72,17 @@
  * finishAttempt(node, {type: 'attempt-finished', at: 5, attemptId: 'a-1', outcome: {type: 'succeeded'}});
  */
 export function finishAttempt(node: Node, event: EventOf<'attempt-finished'>): Effect[] {
-	const ended = endAttempt(node, event.attemptId);
+	const {attemptId, outcome, at} = event;
+	const ended = endAttempt(node, attemptId);
 	if (ended === undefined) {
 		return [{type: 'count', counter: 'attempt.stale-answer'}];
 	}
 
-	const {task} = ended;
-	const handler = outcomeHandlers[event.outcome.type] as OutcomeHandler<AttemptOutcome['type']>;
-	const effects = handler(node, task, event.outcome, event.attemptId);
-	if (task.state === 'running') {
-		node.tasks.byId.delete(task.id);
-	}
-
-	return [...effects, ...dispatchPool(node, task.pool, event.at)];
+	const {task, attempt: {workerId}} = ended;
+	const counts = recordOutcome(node, workerId, outcome, at);
+	const handler = outcomeHandlers[outcome.type] as OutcomeHandler<AttemptOutcome['type']>;
+	const effects = handler(node, {
+		task, workerId, attemptId, at,
+	}, outcome);
+	return [...counts, ...effects, ...dispatchPool(node, task.pool, at)];
 }
--- /dev/null
+++ b/packages/core/src/tasks/retry-task.ts
@@ -0,0 +1,45 @@
+import {type Counter} from '../node/counters.js';
+import {type Effect} from '../node/effect.js';
+import {type Node, type Task} from '../node/node.js';
+import {computeBackoff} from '../retries/compute-backoff.js';
+import {isParked} from '../retries/is-parked.js';
+import {scheduleRetry} from '../retries/schedule-retry.js';
+import {spendRetry} from '../retries/spend-retry.js';
+import {endTask, type TaskEnding} from './end-task.js';
+import {queueTask} from './queue-task.js';
+
+/**
+ * Retries a task after a backoff, or ends it: when its caller is gone, its job is parked, its
+ * deadline would pass first or the retry budget is used up.
+ *
+ * @param node - the node, updated in place
+ * @param task - a task without a running attempt that may run again
+ * @param options - ending when the deadline is too near, counter of the retry, and whether it takes from the budget
+ * @param at - now, in milliseconds
+ * @returns the effects
+ * @example
+ * retryTask(node, task, {ending, counter: 'retry.lost', budgeted: true}, at);
+ */
+export function retryTask(node: Node, task: Task, options: {ending: TaskEnding; counter: Counter; budgeted: boolean}, at: number): Effect[] {
+	const {ending, counter, budgeted} = options;
+	// The view of the worker has been corrected, so that the first such retry need not wait.
+	const delayMs = !budgeted && task.attemptsUnstarted <= 1 ? 0 : computeBackoff(node.random, Math.max(1, task.attemptsStarted));
+	if (task.abandoned || at + delayMs >= task.deadlineAt) {
+		return endTask(node, task, ending, at);
+	}
+
+	if (isParked(node, task, at)) {
+		return endTask(node, task, {type: 'refused', reason: 'request-parked'}, at);
+	}
+
+	if (budgeted && !spendRetry(node)) {
+		return endTask(node, task, {type: 'refused', reason: 'retry-budget-exhausted'}, at);
+	}
+
+	if (delayMs === 0) {
+		return [{type: 'count', counter}, ...queueTask(node, task, at)];
+	}
+
+	scheduleRetry(node, task, at + delayMs);
+	return [{type: 'count', counter}];
+}
--- a/packages/core/src/tasks/tick-tasks.ts
+++ b/packages/core/src/tasks/tick-tasks.ts
@@ -1,17 +1,29 @@
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
-import {type Node} from '../node/node.js';
-import {removeTask} from '../shares/remove-task.js';
+import {type Node, type Task} from '../node/node.js';
 import {dispatchPool} from './dispatch-pool.js';
+import {endAttempt} from './end-attempt.js';
+import {endTask} from './end-task.js';
 import {refuseTask} from './refuse-task.js';
 
+/** The caller is answered; the attempt is cancelled if it may be repeated and otherwise keeps its slot until it ends. */
+function expireRunning(node: Node, task: Task, at: number): Effect[] {
+	task.mayHaveRun = true;
+	if (!task.repeatable) {
+		task.abandoned = true;
+		return [refuseTask(task.id, 'deadline-exceeded-running')];
+	}
+
+	const ended = endAttempt(node, task.attemptId ?? '');
+	const cancels: Effect[] = ended === undefined ? [] : [{type: 'cancel-attempt', attemptId: ended.attempt.id, workerId: ended.attempt.workerId}];
+	return [...cancels, ...endTask(node, task, {type: 'refused', reason: 'deadline-exceeded-running'}, at)];
+}
+
 function expireTasks(node: Node, at: number): Effect[] {
 	const effects: Effect[] = [];
 	for (const task of node.tasks.byId.values()) {
-		if (task.state === 'queued' && task.deadlineAt <= at) {
-			removeTask(node, task);
-			node.tasks.byId.delete(task.id);
-			effects.push(refuseTask(task.id, 'deadline-exceeded'));
+		if (task.deadlineAt <= at && !task.abandoned) {
+			effects.push(...(task.state === 'running' ? expireRunning(node, task, at) : endTask(node, task, {type: 'refused', reason: 'deadline-exceeded'}, at)));
 		}
 	}
 
@@ -19,7 +31,7 @@
 }
 
 /**
- * Refuses waiting tasks past their deadline, starts what can start, and reports the end of a shutdown.
+ * Refuses tasks past their deadline, starts what can start, and reports the end of a shutdown.
  *
  * @param node - the node, updated in place
  * @param event - the tick
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,7 +4,7 @@
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {taskLeaseTtlMs, tickIntervalMs} from '@rosemaryquay/core/constants';
+import {taskLeaseTtlMs, tickIntervalMs, usageReadIntervalMs} from '@rosemaryquay/core/constants';
 import {createNode} from '@rosemaryquay/core/node/create-node';
 import {type Event} from '@rosemaryquay/core/node/event';
 import {reduce} from '@rosemaryquay/core/node/reduce';
@@ -17,6 +17,7 @@
 import {type Host} from './host.js';
 import {createRouter} from './http/create-router.js';
 import {performEffect} from './perform-effect.js';
+import {UsageReader} from './usage-reader.js';
 import {WorkerClient} from './worker-client.js';
 
 /** Renewals of a task lease within its time to live. */
@@ -31,6 +32,7 @@
 	readonly #server: Server;
 	readonly #instanceList: InstanceList;
 	readonly #catalogueReader: CatalogueReader;
+	readonly #usageReader: UsageReader;
 	readonly #abort = new AbortController();
 	#finishShutdown: (() => void) | undefined;
 
@@ -39,10 +41,13 @@
 		this.#settings = settings;
 		this.#logger = logger;
 		this.metrics = createMetrics(settings.metrics);
-		this.#node = createNode({id: settings.instance, zone: settings.zone, seed: Date.now() % 0x7F_FF_FF_FF});
+		this.#node = createNode({
+			id: settings.instance, zone: settings.zone, seed: Date.now() % 0x7F_FF_FF_FF, prefix: settings.store.prefix, clockOriginMs: performance.timeOrigin,
+		});
 		this.#host = this.#createHost();
 		this.#instanceList = new InstanceList({url: settings.instanceList.url});
 		this.#catalogueReader = new CatalogueReader({host: this.#host});
+		this.#usageReader = new UsageReader({host: this.#host, node: this.#node});
 		const router = createRouter(this.#host, this.#node);
 		this.#server = createServer({maxHeaderSize: settings.limits.headerBytes}, (request, response) => {
 			router.lookup(request, response);
@@ -66,6 +71,7 @@
 		void this.#catalogueReader.run();
 		void this.#repeat(this.#settings.instanceList.intervalMs, async () => this.#refreshInstances());
 		void this.#repeat(taskLeaseTtlMs / renewalsPerLease, async () => this.#renewLeases());
+		void this.#repeat(usageReadIntervalMs, async () => this.#usageReader.readRound());
 		void this.#repeat(tickIntervalMs, async () => {
 			this.#dispatch({type: 'tick', at: this.#host.now()});
 		});
--- a/packages/daemon/src/http/read-request.ts
+++ b/packages/daemon/src/http/read-request.ts
@@ -10,6 +10,9 @@
 	| {readonly ok: false; readonly reason: Reason; readonly detail: string};
 
 const maximumIdempotencyKeyLength = 255;
+/** Longer bodies without an idempotency key are not hashed; jobs with them are not recognised as failing everywhere. */
+const maximumFingerprintedBytes = 65_536;
+
 const bearerPattern = /^bearer (?<key>[\w\-.~+/]{16,200}=*)$/i;
 const emptyBody = new Uint8Array();
 
@@ -100,7 +103,8 @@
 			bodyBytes: body.length,
 			...(key !== undefined && {keyHash: createHash('sha256').update(key).digest('hex')}),
 			...(deadlineMs !== undefined && {deadlineMs}),
-			...(idempotencyKey !== undefined && {idempotencyKey, fingerprint: createHash('sha256').update(queue).update('\0').update(body).digest('hex')}),
+			...(idempotencyKey !== undefined && {idempotencyKey}),
+			...((idempotencyKey !== undefined || body.length <= maximumFingerprintedBytes) && {fingerprint: createHash('sha256').update(queue).update('\0').update(body).digest('hex')}),
 		},
 	};
 }
--- a/packages/daemon/src/perform-effect.ts
+++ b/packages/daemon/src/perform-effect.ts
@@ -1,5 +1,6 @@
 import {type Effect, type EffectOf} from '@rosemaryquay/core/node/effect';
 import {type Host} from './host.js';
+import {answerRecorded} from './performers/answer-recorded.js';
 import {answerRequest} from './performers/answer-request.js';
 import {cancelAttempt} from './performers/cancel-attempt.js';
 import {listStore} from './performers/list-store.js';
@@ -13,6 +14,7 @@
 	'start-attempt': startAttempt,
 	'cancel-attempt': cancelAttempt,
 	answer: answerRequest,
+	'answer-recorded': answerRecorded,
 	refuse: refuseRequest,
 	'store-transact': transactStore,
 	'store-list': listStore,
--- a/packages/daemon/src/performers/start-attempt.ts
+++ b/packages/daemon/src/performers/start-attempt.ts
@@ -1,8 +1,25 @@
+import {Buffer} from 'node:buffer';
+import {maximumKeptAnswerLength} from '@rosemaryquay/core/constants';
+import {type RecordedAnswer} from '@rosemaryquay/core/deduplication/deduplication';
 import {type EffectOf} from '@rosemaryquay/core/node/effect';
 import {type Host} from '../host.js';
+import {type Answer} from '../worker-client.js';
+
+/** Base64 is 4 characters for 3 bytes. */
+const maximumKeptAnswerBytes = Math.floor(maximumKeptAnswerLength / 4) * 3;
+
+function recordAnswer(answer: Answer | undefined): {answer?: RecordedAnswer} {
+	if (answer === undefined || answer.body.length > maximumKeptAnswerBytes) {
+		return {};
+	}
+
+	return {answer: {status: answer.status, contentType: answer.contentType, body: Buffer.from(answer.body).toString('base64')}};
+}
 
 async function runAttempt(host: Host, effect: EffectOf<'start-attempt'>): Promise<void> {
-	const {taskId, attemptId, address, timeoutMs} = effect;
+	const {
+		taskId, attemptId, address, timeoutMs, keepAnswer,
+	} = effect;
 	const exchange = host.exchanges.get(taskId);
 	if (exchange === undefined) {
 		host.dispatch({
@@ -22,7 +39,7 @@
 	}
 
 	host.dispatch({
-		type: 'attempt-finished', at: host.now(), attemptId, outcome,
+		type: 'attempt-finished', at: host.now(), attemptId, outcome: outcome.type === 'succeeded' && keepAnswer ? {...outcome, ...recordAnswer(answer)} : outcome,
 	});
 	host.answers.delete(attemptId);
 }
--- a/packages/daemon/src/worker-client.ts
+++ b/packages/daemon/src/worker-client.ts
@@ -2,8 +2,9 @@
  * Sends tasks to workers over HTTP, one connection pool for each worker.
  */
 import {Pool} from 'undici';
+import {z} from 'zod';
 import {type AttemptOutcome} from '@rosemaryquay/core/node/event';
-import {taskLeaseTtlMs} from '@rosemaryquay/core/constants';
+import {clockDriftMarginMs, taskLeaseTtlMs} from '@rosemaryquay/core/constants';
 
 /** A whole answer of a worker. */
 export type Answer = {
@@ -28,6 +29,10 @@
 /** Errors of requests that cannot have reached the worker. */
 const unsentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
+const usageTimeoutMs = 1000;
+
+const usageSchema = z.object({runningSlots: z.int().min(0)});
+
 const notRunCauses = new Set<string>(['slots-full', 'leaving', 'lease-lapsed', 'duplicate']);
 
 function outcomeOfError(error: unknown): AttemptOutcome {
@@ -44,6 +49,8 @@
 	readonly #connections: number;
 	readonly #answerBytes: number;
 	readonly #pools = new Map<string, Pool>();
+	/** Time until which the lease at each worker is known to hold, on the monotonic clock. */
+	readonly #leases = new Map<string, number>();
 
 	constructor(options: {holder: string; connections?: number; answerBytes?: number}) {
 		const {holder, connections = 64, answerBytes = 8 * 1024 * 1024} = options;
@@ -55,6 +62,12 @@
 	async start(request: AttemptRequest): Promise<AttemptResult> {
 		const {attemptId, address, contentType, body, timeoutMs, signal} = request;
 		try {
+			const validUntil = this.#leases.get(address);
+			if (validUntil !== undefined && performance.now() >= validUntil) {
+				await this.renewLease(address);
+			}
+
+			this.#extendLease(address, performance.now());
 			const response = await this.#pool(address).request({
 				path: '/tasks',
 				method: 'POST',
@@ -69,15 +82,20 @@
 				bodyTimeout: timeoutMs,
 				signal,
 			});
+			if (response.headers['rosemaryquay-not-run'] === 'lease-lapsed') {
+				this.#leases.set(address, 0);
+			}
+
 			const cause = String(response.headers['rosemaryquay-not-run'] ?? '');
 			if (notRunCauses.has(cause)) {
 				await response.body.dump();
 				return {outcome: {type: 'not-started', cause: cause as 'slots-full'}};
 			}
 
-			if (Number(response.headers['content-length'] ?? 0) > this.#answerBytes || response.headers[attemptHeader] !== attemptId) {
+			const mismatched = response.headers[attemptHeader] !== attemptId;
+			if (mismatched || Number(response.headers['content-length'] ?? 0) > this.#answerBytes) {
 				response.body.destroy();
-				return {outcome: {type: 'lost', cause: 'answer-incomplete'}};
+				return {outcome: {type: 'lost', cause: mismatched ? 'answer-mismatched' : 'answer-incomplete'}};
 			}
 
 			const answerBody = new Uint8Array(await response.body.arrayBuffer());
@@ -104,6 +122,7 @@
 	/** Renews the leases of all tasks of this holder at a worker. */
 	async renewLease(address: string): Promise<boolean> {
 		try {
+			const sentAt = performance.now();
 			const response = await this.#pool(address).request({
 				path: `/leases/${this.#holder}`,
 				method: 'PUT',
@@ -111,16 +130,39 @@
 				headersTimeout: taskLeaseTtlMs / 2,
 			});
 			await response.body.dump();
-			return response.statusCode === 204;
+			if (response.statusCode !== 204) {
+				return false;
+			}
+
+			this.#extendLease(address, sentAt);
+			return true;
 		} catch {
 			return false;
 		}
 	}
 
+	/** Reads the slots in use at a worker; `undefined` when it does not answer. */
+	async readUsage(address: string): Promise<number | undefined> {
+		try {
+			const response = await this.#pool(address).request({
+				path: '/usage', method: 'GET', headersTimeout: usageTimeoutMs, bodyTimeout: usageTimeoutMs,
+			});
+			const parsed = usageSchema.safeParse(await response.body.json());
+			return parsed.success ? parsed.data.runningSlots : undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
 	async close(): Promise<void> {
 		await Promise.all([...this.#pools.values()].map(async pool => pool.destroy()));
 	}
 
+	/** The lease counts from the time of sending, less the drift between the two clocks. */
+	#extendLease(address: string, sentAt: number): void {
+		this.#leases.set(address, Math.max(this.#leases.get(address) ?? 0, sentAt + taskLeaseTtlMs - clockDriftMarginMs));
+	}
+
 	#pool(address: string): Pool {
 		let pool = this.#pools.get(address);
 		if (pool === undefined) {
--- a/packages/measure/src/pump.ts
+++ b/packages/measure/src/pump.ts
@@ -74,6 +74,11 @@
 			type: 'answered', at: pump.now, node: node.id, taskId: effect.taskId,
 		});
 	},
+	'answer-recorded'(pump, node, effect) {
+		pump.trace.push({
+			type: 'answered', at: pump.now, node: node.id, taskId: effect.taskId,
+		});
+	},
 	refuse(pump, node, effect) {
 		pump.trace.push({
 			type: 'refused', at: pump.now, node: node.id, taskId: effect.taskId, refusal: effect.refusal,
--- /dev/null
+++ b/packages/testing/src/requests/attempts.test.ts
@@ -0,0 +1,197 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type AttemptOutcome} from '@rosemaryquay/core/node/event';
+import {RequestFixture} from '../request-fixture.js';
+
+const {describe, attemptOf} = RequestFixture;
+
+const failed: AttemptOutcome = {type: 'failed', status: 500};
+
+// Guards against a retry that could run work twice, one that is not wanted, and an untrue "not run".
+const retries: ReadonlyArray<{name: string; queue: string; outcome: AttemptOutcome; tokens?: number; expected: string}> = [
+	{
+		name: 'failed, repeatable', queue: 'mail', outcome: failed, expected: 'start-attempt',
+	},
+	{
+		name: 'failed, not repeatable', queue: 'orders', outcome: failed, expected: 'worker-failed, outcome unknown',
+	},
+	{
+		name: 'failed, no budget', queue: 'mail', outcome: failed, tokens: 0.9, expected: 'retry-budget-exhausted, outcome unknown',
+	},
+	{
+		name: 'connection refused', queue: 'orders', outcome: {type: 'not-started', cause: 'connection-refused'}, expected: 'start-attempt',
+	},
+	{
+		name: 'connection refused, no budget', queue: 'orders', outcome: {type: 'not-started', cause: 'connection-refused'}, tokens: 0, expected: 'retry-budget-exhausted, not run',
+	},
+	{
+		name: 'worker full, no budget', queue: 'orders', outcome: {type: 'not-started', cause: 'slots-full'}, tokens: 0, expected: 'start-attempt',
+	},
+	{
+		name: 'lease lapsed', queue: 'orders', outcome: {type: 'not-started', cause: 'lease-lapsed'}, expected: 'start-attempt',
+	},
+	{
+		name: 'attempt seen before', queue: 'orders', outcome: {type: 'not-started', cause: 'duplicate'}, expected: 'worker-lost, outcome unknown',
+	},
+	{
+		name: 'answer of another attempt', queue: 'orders', outcome: {type: 'lost', cause: 'answer-mismatched'}, expected: 'worker-lost, outcome unknown',
+	},
+];
+
+for (const {name, queue, outcome, tokens = 5, expected} of retries) {
+	test(`retries or refuses: ${name}`, () => {
+		const fixture = new RequestFixture();
+		fixture.node.retries.tokens = tokens;
+		const attemptId = attemptOf(fixture.arrive('r-1', {queue}));
+		assert.equal(describe([...fixture.finish(attemptId, outcome), ...fixture.advance(300)]), expected);
+	});
+}
+
+test('says "outcome unknown" when the deadline passes between two attempts', () => {
+	const fixture = new RequestFixture({workers: 1});
+	const attemptId = attemptOf(fixture.arrive('r-1', {queue: 'mail', deadlineMs: 1000}));
+	fixture.finish(attemptId, failed);
+	fixture.list(['w-0']);
+	assert.equal(describe(fixture.advance(1200)), 'deadline-exceeded, outcome unknown');
+});
+
+// Guards against a limit that is exceeded by work which runs past its deadline or its caller.
+for (const [queue, cancels, freed] of [['mail', 1, 0], ['orders', 0, 1]] as const) {
+	test(`ends a request at its deadline while it runs on queue ${queue}`, () => {
+		const fixture = new RequestFixture();
+		const attemptId = attemptOf(fixture.arrive('r-1', {queue, deadlineMs: 500}));
+		const effects = fixture.advance(1000);
+		assert.equal(describe(effects), 'deadline-exceeded-running, outcome unknown');
+		assert.equal(effects.filter(effect => effect.type === 'cancel-attempt').length, cancels);
+		assert.equal(fixture.node.limits.running.get('first'), freed);
+		assert.equal(describe(fixture.finish(attemptId)), 'nothing');
+		assert.equal(fixture.node.limits.running.get('first'), 0);
+	});
+}
+
+test('parks a job that fails on every worker and forgets it after a time', () => {
+	const fixture = new RequestFixture();
+	const reasons: string[] = [];
+	for (let index = 0; index < 8; index++) {
+		const started = fixture.arrive(`r-${index}`);
+		reasons.push(describe(started));
+		fixture.finish(attemptOf(started), failed);
+	}
+
+	assert.equal(reasons.filter(reason => reason === 'start-attempt').length, 6);
+	assert.equal(reasons.at(-1), 'request-parked, not run');
+	assert.equal(describe(fixture.arrive('other', {fingerprint: 'f-2'})), 'start-attempt');
+	fixture.advance(61_000);
+	assert.equal(describe(fixture.arrive('later')), 'start-attempt');
+});
+
+function startOn(fixture: RequestFixture, count: number, prefix: string): string[] {
+	const workers: string[] = [];
+	for (let index = 0; index < count; index++) {
+		const start = fixture.arrive(`${prefix}-${index}`, {queue: 'mail', fingerprint: `${prefix}-${index}`}).find(effect => effect.type === 'start-attempt');
+		if (start !== undefined) {
+			workers.push(start.workerId);
+			fixture.finish(start.attemptId, start.workerId === 'w-0' ? failed : {type: 'succeeded'});
+			fixture.apply({type: 'request-cancelled', at: fixture.at, taskId: `${prefix}-${index}`});
+		}
+	}
+
+	return workers;
+}
+
+test('ejects a worker that fails everything, probes it and returns it', () => {
+	const fixture = new RequestFixture();
+	startOn(fixture, 200, 'a');
+	assert.equal(fixture.node.placement.workers.get('w-0')?.health, 'ejected');
+	assert.ok(!startOn(fixture, 50, 'b').includes('w-0'));
+	fixture.advance(5100);
+	assert.equal(startOn(fixture, 50, 'c').filter(worker => worker === 'w-0').length, 1);
+	fixture.advance(11_000);
+	for (let probe = 0; probe < 3; probe++) {
+		fixture.finish(attemptOf(fixture.arrive(`p-${probe}`, {queue: 'mail'})));
+	}
+
+	assert.equal(fixture.node.placement.workers.get('w-0')?.health, 'healthy');
+});
+
+test('ejects at most a quarter of a pool', () => {
+	const fixture = new RequestFixture({workers: 8});
+	for (let index = 0; index < 400; index++) {
+		fixture.finish(attemptOf(fixture.arrive(`r-${index}`, {fingerprint: `f-${index}`})), failed);
+	}
+
+	const ejected = [...fixture.node.placement.workers.values()].filter(worker => worker.health === 'ejected');
+	assert.equal(ejected.length, 2);
+});
+
+// Guards against work on instances that the platform or the operators have taken out.
+const excluded: ReadonlyArray<{name: string; allowed: readonly string[]; exclude(fixture: RequestFixture): void}> = [
+	{
+		name: 'withdrawn zone',
+		allowed: ['w-1', 'w-3'],
+		exclude(fixture) {
+			fixture.withdraw(['zone-a']);
+		},
+	},
+	{
+		name: 'listed as leaving',
+		allowed: ['w-3'],
+		exclude(fixture) {
+			fixture.list(['w-0', 'w-1', 'w-2']);
+		},
+	},
+	{
+		name: 'said that it leaves',
+		exclude(fixture) {
+			const start = fixture.arrive('first').find(effect => effect.type === 'start-attempt');
+			assert.equal(start?.workerId, 'w-0');
+			fixture.finish(start.attemptId, {type: 'not-started', cause: 'leaving'});
+			fixture.list();
+		},
+		allowed: ['w-1', 'w-2', 'w-3'],
+	},
+];
+
+for (const {name, exclude, allowed} of excluded) {
+	test(`starts nothing on excluded workers: ${name}`, () => {
+		const fixture = new RequestFixture({running: 100});
+		if (name === 'said that it leaves') {
+			fixture.list(['w-2']);
+		}
+
+		exclude(fixture);
+		for (let index = 0; index < 40; index++) {
+			const start = fixture.arrive(`r-${index}`).find(effect => effect.type === 'start-attempt');
+			assert.ok(start === undefined || allowed.includes(start.workerId), start?.workerId);
+		}
+	});
+}
+
+test('prefers the own availability zone and spills over when it is full', () => {
+	const fixture = new RequestFixture({running: 100});
+	const zones: string[] = [];
+	for (let index = 0; index < 32; index++) {
+		const start = fixture.arrive(`r-${index}`).find(effect => effect.type === 'start-attempt');
+		zones.push(fixture.node.placement.workers.get(start?.workerId ?? '')?.instance.zone ?? 'none');
+	}
+
+	assert.deepEqual(new Set(zones.slice(0, 16)), new Set(['zone-a']));
+	assert.deepEqual(new Set(zones.slice(16)), new Set(['zone-b']));
+});
+
+test('returns a restored availability zone gradually', () => {
+	const fixture = new RequestFixture({running: 100});
+	fixture.withdraw(['zone-a']);
+	fixture.withdraw([]);
+	for (let index = 0; index < 18; index++) {
+		fixture.arrive(`r-${index}`);
+	}
+
+	assert.equal(fixture.node.placement.workers.get('w-0')?.running, 1);
+	fixture.advance(10_100);
+	for (let index = 18; index < 32; index++) {
+		fixture.arrive(`r-${index}`);
+	}
+
+	assert.equal(fixture.node.placement.workers.get('w-0')?.running, 8);
+});
--- /dev/null
+++ b/packages/testing/src/requests/claims.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {StoreModel} from '../store-model.js';
+import {RequestFixture, type StoreFault, keyHashes} from '../request-fixture.js';
+
+const {describe, attemptOf} = RequestFixture;
+
+const small = {status: 200, contentType: 'text/plain', body: 'YQ=='};
+const large = {...small, body: 'a'.repeat(4000)};
+const keyed = {idempotencyKey: 'k-1'};
+
+// Guards against a second run of a request whose first submission is known to any instance.
+const seconds: ReadonlyArray<{
+	name: string; sameInstance: boolean; holderKnown?: boolean; ending?: 'answered' | 'answered-large' | 'lost'; fingerprint?: string; keyHash?: string; expected: string;
+}> = [
+	{name: 'first runs here', sameInstance: true, expected: 'request-in-progress, not run'},
+	{
+		name: 'first runs on a known instance', sameInstance: false, holderKnown: true, expected: 'request-in-progress, not run',
+	},
+	{name: 'first was on a crashed instance', sameInstance: false, expected: 'claim-outcome-unknown, outcome unknown'},
+	{
+		name: 'first was answered here', sameInstance: true, ending: 'answered-large', expected: 'answer-recorded',
+	},
+	{
+		name: 'first was answered elsewhere', sameInstance: false, ending: 'answered', expected: 'answer-recorded',
+	},
+	{
+		name: 'first had a large answer elsewhere', sameInstance: false, ending: 'answered-large', expected: 'claim-outcome-unknown, outcome unknown',
+	},
+	{
+		name: 'first was lost here', sameInstance: true, ending: 'lost', expected: 'claim-outcome-unknown, outcome unknown',
+	},
+	{
+		name: 'first was lost elsewhere', sameInstance: false, holderKnown: true, ending: 'lost', expected: 'claim-outcome-unknown, outcome unknown',
+	},
+	{
+		name: 'key reused here with another body', sameInstance: true, fingerprint: 'f-2', expected: 'idempotency-key-reused, not run',
+	},
+	{
+		name: 'key reused elsewhere with another body', sameInstance: false, ending: 'answered', fingerprint: 'f-2', expected: 'idempotency-key-reused, not run',
+	},
+	{
+		name: 'same key of another team', sameInstance: false, keyHash: keyHashes.second, expected: 'start-attempt',
+	},
+];
+
+const endings = {
+	answered: {type: 'succeeded', answer: small},
+	'answered-large': {type: 'succeeded', answer: large},
+	lost: {type: 'lost', cause: 'connection-lost'},
+} as const;
+
+for (const {name, sameInstance, holderKnown = false, ending, fingerprint = 'f-1', keyHash = keyHashes.first, expected} of seconds) {
+	test(`answers a second submission: ${name}`, () => {
+		const store = new StoreModel();
+		const first = new RequestFixture({store});
+		const second = sameInstance ? first : new RequestFixture({id: 'entry-2', store, peers: holderKnown ? ['entry-1'] : []});
+		const attemptId = attemptOf(first.arrive('r-1', keyed));
+		if (ending !== undefined) {
+			first.finish(attemptId, endings[ending]);
+		}
+
+		first.advance(200);
+		second.at = first.at;
+		assert.equal(describe(second.arrive('r-2', {...keyed, fingerprint, keyHash})), expected);
+	});
+}
+
+// Guards against a start without a recorded claim, a second start, and an untrue "not run".
+const faults: ReadonlyArray<{name: string; queue: string; faults: readonly StoreFault[]; expected: string; starts: number}> = [
+	{
+		name: 'store down', queue: 'orders', faults: ['down'], expected: 'claim-unavailable, not run', starts: 0,
+	},
+	{
+		name: 'store down, repeatable', queue: 'mail', faults: ['down'], expected: 'start-attempt', starts: 1,
+	},
+	{
+		name: 'answer lost after the write', queue: 'orders', faults: ['answer-lost'], expected: 'start-attempt', starts: 1,
+	},
+	{
+		name: 'call lost before the write', queue: 'orders', faults: ['call-lost'], expected: 'start-attempt', starts: 1,
+	},
+	{
+		name: 'answer lost, then down', queue: 'orders', faults: ['answer-lost', 'down'], expected: 'claim-unavailable, not run', starts: 0,
+	},
+	{
+		name: 'all answers lost', queue: 'orders', faults: ['answer-lost', 'answer-lost', 'answer-lost'], expected: 'claim-unavailable, not run', starts: 0,
+	},
+];
+
+for (const {name, queue, faults: storeFaults, expected, starts} of faults) {
+	test(`claims before sending: ${name}`, () => {
+		const fixture = new RequestFixture();
+		fixture.storeFaults.push(...storeFaults);
+		const effects = [...fixture.arrive('r-1', {...keyed, queue}), ...fixture.advance(2500)];
+		assert.equal(describe(effects), expected);
+		assert.equal(effects.filter(effect => effect.type === 'start-attempt').length, starts);
+		if (starts === 0) {
+			// A request that did not run leaves no claim that would refuse its next submission.
+			assert.equal(describe(fixture.arrive('r-2', {...keyed, queue})), 'start-attempt');
+		}
+	});
+}
+
+test('lets one of two racing instances start', () => {
+	const store = new StoreModel();
+	const nodes = [new RequestFixture({store, peers: ['entry-2']}), new RequestFixture({id: 'entry-2', store, peers: ['entry-1']})];
+	// Neither has read the bucket, so both compare it with an absent key.
+	assert.deepEqual(nodes.map(node => describe(node.arrive(node.node.id, keyed))), ['start-attempt', 'request-in-progress, not run']);
+});
+
+test('releases the claim of a caller that went away before its request was sent', () => {
+	const fixture = new RequestFixture({running: 0});
+	fixture.arrive('r-1', keyed);
+	fixture.apply({type: 'request-cancelled', at: fixture.at, taskId: 'r-1'});
+	fixture.advance(200);
+	assert.equal([...fixture.store.entries.values()].map(entry => entry.value).join(''), '[]');
+});
+
+test('writes the claims of requests that arrive together in few transactions', () => {
+	const fixture = new RequestFixture({workers: 20, running: 200});
+	for (let index = 0; index < 100; index++) {
+		fixture.arrive(`r-${index}`, {idempotencyKey: `k-${index}`});
+	}
+
+	fixture.advance(1000);
+	const starts = fixture.effects.filter(effect => effect.type === 'start-attempt').length;
+	const writes = fixture.effects.filter(effect => effect.type === 'store-transact').length;
+	assert.equal(starts, 100);
+	assert.ok(writes <= 6, `${writes} writes`);
+});
+
+test('refuses a claim in a bucket whose content is not a list of claims', () => {
+	const fixture = new RequestFixture();
+	fixture.arrive('r-1', keyed);
+	const [key = ''] = fixture.store.entries.keys();
+	fixture.store.put(key, 'not a list');
+	fixture.advance(100);
+	assert.equal(describe(new RequestFixture({id: 'entry-2', store: fixture.store}).arrive('r-2', keyed)), 'claim-unavailable, not run');
+});
--- /dev/null
+++ b/packages/testing/src/requests/properties.test.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {type AttemptOutcome} from '@rosemaryquay/core/node/event';
+import {RequestFixture, type StoreFault} from '../request-fixture.js';
+
+const outcomes: readonly AttemptOutcome[] = [
+	{type: 'succeeded'},
+	{type: 'failed', status: 500},
+	{type: 'lost', cause: 'connection-lost'},
+	{type: 'not-started', cause: 'connection-refused'},
+	{type: 'not-started', cause: 'slots-full'},
+	{type: 'not-started', cause: 'leaving'},
+	{type: 'not-started', cause: 'duplicate'},
+];
+
+const storeFaults: readonly StoreFault[] = ['none', 'down', 'answer-lost', 'call-lost'];
+
+const steps = fc.array(fc.oneof(
+	fc.record({type: fc.constant('arrive' as const), repeatable: fc.boolean(), key: fc.option(fc.nat(5), {nil: undefined})}),
+	fc.record({type: fc.constant('finish' as const), attempt: fc.nat(50), outcome: fc.constantFrom(...outcomes)}),
+	fc.record({type: fc.constant('cancel' as const), task: fc.nat(50)}),
+	fc.record({type: fc.constant('advance' as const), durationMs: fc.constantFrom(1, 100, 900, 6000)}),
+	fc.record({type: fc.constant('store' as const), fault: fc.constantFrom(...storeFaults)}),
+	fc.record({type: fc.constant('withdraw' as const), zones: fc.subarray(['zone-a', 'zone-b'])}),
+	fc.record({type: fc.constant('list' as const), leaving: fc.subarray(['w-0', 'w-1', 'w-2'])}),
+), {minLength: 20, maxLength: 120});
+
+type Step = typeof steps extends fc.Arbitrary<infer Value> ? (Value extends Array<infer Item> ? Item : never) : never;
+
+class Run {
+	readonly fixture = new RequestFixture({workers: 3, running: 4});
+	arrived = 0;
+	/** Attempts that may have run, by task. */
+	readonly mayHaveRun = new Map<string, number>();
+	readonly ended = new Set<string>();
+	readonly notRepeatable = new Set<string>();
+	#seen = 0;
+
+	apply(step: Step): void {
+		const {fixture} = this;
+		const handlers: {readonly [Type in Step['type']]: (step: Extract<Step, {type: Type}>) => void} = {
+			arrive: ({repeatable, key}) => {
+				const id = `r-${this.arrived}`;
+				this.arrived += 1;
+				if (!repeatable) {
+					this.notRepeatable.add(id);
+				}
+
+				fixture.arrive(id, {queue: repeatable ? 'mail' : 'orders', fingerprint: id, ...(key !== undefined && {idempotencyKey: `${repeatable}-${key}`, fingerprint: 'same'})});
+			},
+			finish({attempt, outcome}) {
+				const starts = fixture.effects.filter(effect => effect.type === 'start-attempt');
+				fixture.finish(starts[attempt % Math.max(1, starts.length)]?.attemptId ?? 'none', outcome);
+			},
+			cancel({task}) {
+				fixture.apply({type: 'request-cancelled', at: fixture.at, taskId: `r-${task}`});
+			},
+			advance({durationMs}) {
+				fixture.advance(durationMs);
+			},
+			store({fault}) {
+				fixture.storeFaults.push(fault);
+			},
+			withdraw({zones}) {
+				fixture.withdraw(zones);
+			},
+			list({leaving}) {
+				fixture.list(leaving);
+			},
+		};
+		const started = new Set(fixture.node.tasks.attempts.keys());
+		(handlers[step.type] as (step: Step) => void)(step);
+		this.#record(step.type === 'finish' && step.outcome.type === 'not-started' && step.outcome.cause !== 'duplicate', started);
+		this.#checkCounts();
+	}
+
+	/** Counts starts, less those that the worker refused in this step, and checks what callers were told. */
+	#record(refused: boolean, before: ReadonlySet<string>): void {
+		const {effects, node} = this.fixture;
+		for (const effect of refused ? effects : []) {
+			if (effect.type === 'start-attempt' && before.has(effect.attemptId) && !node.tasks.attempts.has(effect.attemptId)) {
+				this.#count(effect.taskId, -1);
+			}
+		}
+
+		for (; this.#seen < effects.length; this.#seen++) {
+			const effect = effects[this.#seen];
+			if (effect?.type === 'start-attempt') {
+				this.#count(effect.taskId, 1);
+			} else if (effect?.type === 'refuse' || effect?.type === 'answer' || effect?.type === 'answer-recorded') {
+				assert.ok(!this.ended.has(effect.taskId), `${effect.taskId} was answered twice`);
+				this.ended.add(effect.taskId);
+			}
+
+			if (effect?.type === 'refuse' && effect.refusal.execution === 'not run') {
+				assert.equal(this.mayHaveRun.get(effect.taskId) ?? 0, 0, `untrue "not run" for ${effect.taskId}: ${effect.refusal.reason}`);
+			}
+		}
+	}
+
+	#count(taskId: string, change: 1 | -1): void {
+		const count = (this.mayHaveRun.get(taskId) ?? 0) + change;
+		this.mayHaveRun.set(taskId, count);
+		assert.ok(count <= 1 || !this.notRepeatable.has(taskId), `${taskId} may have run ${count} times`);
+	}
+
+	#checkCounts(): void {
+		const {tasks, limits, placement} = this.fixture.node;
+		const running = limits.running.get('first') ?? 0;
+		const onWorkers = [...placement.workers.values()].reduce((sum, worker) => sum + worker.running, 0);
+		assert.equal(running, tasks.attempts.size, 'portion and attempts');
+		assert.equal(onWorkers, tasks.attempts.size, 'slots and attempts');
+		assert.ok(running <= 4, 'upper limit');
+	}
+}
+
+// Guards against slots, portions and queue places that are lost or freed twice under any order of
+// events, a second run of work that may run only once, and an untrue "not run".
+test('conserves slots and limits, and runs work at most once, in random event orders', () => {
+	fc.assert(fc.property(steps, all => {
+		const run = new Run();
+		for (const step of all) {
+			run.apply(step);
+		}
+
+		run.apply({type: 'withdraw', zones: []});
+		run.apply({type: 'advance', durationMs: 6000});
+		for (let round = 0; round < 20; round++) {
+			for (const attemptId of run.fixture.node.tasks.attempts.keys()) {
+				run.fixture.finish(attemptId);
+			}
+
+			run.apply({type: 'advance', durationMs: 6000});
+		}
+
+		assert.equal(run.fixture.node.tasks.byId.size, 0, 'tasks left');
+		assert.equal(run.fixture.node.deduplication.active.size, 0, 'claims left');
+	}), {seed: 1, numRuns: 150});
+});
+
+// Guards against two runs of one idempotency key on two instances.
+test('starts an idempotency key at most once on two instances under store faults', () => {
+	fc.assert(fc.property(fc.array(fc.record({node: fc.nat(1), fault: fc.constantFrom(...storeFaults), durationMs: fc.constantFrom(0, 100, 3000)}), {maxLength: 12}), all => {
+		const first = new RequestFixture({peers: ['entry-2']});
+		const nodes = [first, new RequestFixture({id: 'entry-2', store: first.store, peers: ['entry-1']})];
+		for (const [index, {node: chosen, fault, durationMs}] of all.entries()) {
+			nodes[chosen]?.storeFaults.push(fault);
+			nodes[chosen]?.arrive(`r-${index}`, {idempotencyKey: 'k'});
+			for (const node of nodes) {
+				node.advance(durationMs);
+			}
+		}
+
+		const starts = nodes.flatMap(node => node.effects).filter(effect => effect.type === 'start-attempt');
+		assert.ok(starts.length <= 1, `${starts.length} starts`);
+	}), {seed: 2, numRuns: 300});
+});
--- a/packages/testing/src/worker-server.ts
+++ b/packages/testing/src/worker-server.ts
@@ -23,7 +23,7 @@
 const holderHeader = 'rosemaryquay-holder';
 const leaseHeader = 'rosemaryquay-lease-ms';
 
-type RunningTask = {readonly holder: string; expiresAt: number; readonly abort: AbortController};
+type RunningTask = {readonly holder: string; readonly abort: AbortController};
 
 const leaseCheckIntervalMs = 200;
 
@@ -38,6 +38,8 @@
 	readonly #serviceTimeMs: number;
 	readonly #seen = new Set<string>();
 	readonly #running = new Map<string, RunningTask>();
+	/** End of the lease of each holder; a lapsed holder starts nothing until it renews. */
+	readonly #leases = new Map<string, number>();
 	#server: ListeningServer | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
@@ -86,7 +88,11 @@
 		}
 	}
 
-	#refusalOf(attempt: string): string | undefined {
+	#refusalOf(attempt: string, holder: string): string | undefined {
+		if ((this.#leases.get(holder) ?? Number.POSITIVE_INFINITY) <= performance.now()) {
+			return 'lease-lapsed';
+		}
+
 		if (this.#seen.has(attempt)) {
 			return 'duplicate';
 		}
@@ -100,17 +106,18 @@
 
 	async #run(request: IncomingMessage, body: Uint8Array, response: ServerResponse): Promise<void> {
 		const attempt = String(request.headers[attemptHeader]);
-		const refusal = this.#refusalOf(attempt);
+		const holder = String(request.headers[holderHeader]);
+		const refusal = this.#refusalOf(attempt, holder);
 		if (refusal !== undefined) {
 			response.writeHead(503, {'rosemaryquay-not-run': refusal}).end();
 			return;
 		}
 
 		const task = {
-			holder: String(request.headers[holderHeader]),
-			expiresAt: performance.now() + Number(request.headers[leaseHeader]),
+			holder,
 			abort: new AbortController(),
 		};
+		this.#renew(holder, Number(request.headers[leaseHeader]));
 		this.#seen.add(attempt);
 		this.started.push(attempt);
 		this.#running.set(attempt, task);
@@ -152,17 +159,13 @@
 	}
 
 	#renew(holder: string, ttlMs: number): void {
-		for (const task of this.#running.values()) {
-			if (task.holder === holder) {
-				task.expiresAt = performance.now() + ttlMs;
-			}
-		}
+		this.#leases.set(holder, performance.now() + ttlMs);
 	}
 
 	#expireLeases(): void {
 		const now = performance.now();
 		for (const task of this.#running.values()) {
-			if (task.expiresAt <= now) {
+			if ((this.#leases.get(task.holder) ?? 0) <= now) {
 				task.abort.abort();
 			}
 		}
