--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -44,10 +44,13 @@
 /** Least time between two claim writes of one instance; 8 instances then take at most 160 of the store's several hundred writes a second. */
 export const claimWriteIntervalMs = 50;
 
-/** Time after which a request stops waiting for its claim. */
-export const claimTimeoutMs = 2000;
+/** Time after which a request stops waiting for its claim; a store that answers in 1.5 s needs up to three calls, two of them after the one in flight. */
+export const claimTimeoutMs = 5000;
 
-/** Interval of claim writes that nothing waits for while the store is unavailable. */
+/** Interval of claim writes that no request waits for; endings are gathered into few writes. */
+export const claimSettleIntervalMs = 500;
+
+/** Interval of claim writes that no request waits for while the store is unavailable. */
 export const claimRetryIntervalMs = 1000;
 
 /** Buckets in one claim transaction; etcd accepts 128 operations by default. */
--- a/packages/core/src/deduplication/deduplication.ts
+++ b/packages/core/src/deduplication/deduplication.ts
@@ -81,7 +81,8 @@
 	nextBatch: number;
 	/** Earliest time of the next write. */
 	writeAt: number;
-	/** Earliest time of the next write that no request waits for. */
+	/** Earliest time of the next write that no request waits for, and the same after a failure. */
+	settleAt: number;
 	retryAt: number;
 	/** Batches in a row that lost a race with another instance. */
 	conflicts: number;
--- a/packages/core/src/deduplication/end-claim.ts
+++ b/packages/core/src/deduplication/end-claim.ts
@@ -18,14 +18,16 @@
 		return;
 	}
 
-	deduplication.answers.set(record.key, {fingerprint: record.fingerprint, answer, expiresAt});
-	deduplication.answersLength += answer.body.length;
-	for (const [key, kept] of deduplication.answers) {
-		if (deduplication.answersLength <= maximumKeptAnswersLength && kept.expiresAt > expiresAt - (2 * claimRetentionMs)) {
+	const {answers} = deduplication;
+	deduplication.answersLength += answer.body.length - (answers.get(record.key)?.answer.body.length ?? 0);
+	answers.delete(record.key);
+	answers.set(record.key, {fingerprint: record.fingerprint, answer, expiresAt});
+	for (const [key, kept] of answers) {
+		if (deduplication.answersLength <= maximumKeptAnswersLength && kept.expiresAt > expiresAt - claimRetentionMs) {
 			return;
 		}
 
-		deduplication.answers.delete(key);
+		answers.delete(key);
 		deduplication.answersLength -= kept.answer.body.length;
 	}
 }
--- a/packages/core/src/deduplication/flush-claims.ts
+++ b/packages/core/src/deduplication/flush-claims.ts
@@ -1,5 +1,5 @@
 import {
-	claimRetentionMs, claimWriteIntervalMs, maximumClaimBucketsPerWrite, maximumClaimsPerBucket,
+	claimRetentionMs, claimSettleIntervalMs, claimWriteIntervalMs, maximumClaimBucketsPerWrite, maximumClaimsPerBucket,
 } from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
@@ -61,12 +61,24 @@
 }
 
 function mayWrite(node: Node, at: number): boolean {
-	const {batch, pending, writeAt, retryAt} = node.deduplication;
+	const {
+		batch, pending, writeAt, settleAt, retryAt,
+	} = node.deduplication;
 	if (batch !== undefined || pending.size === 0 || at < writeAt) {
 		return false;
 	}
 
-	return at >= retryAt || [...pending.values()].some(update => update.type === 'claim');
+	if (at >= retryAt && (at >= settleAt || node.tasks.shuttingDown)) {
+		return true;
+	}
+
+	for (const update of pending.values()) {
+		if (update.type === 'claim') {
+			return true;
+		}
+	}
+
+	return false;
 }
 
 function applyUpdates(bucket: Bucket, updates: readonly ClaimUpdate[], wallAt: number): {results: Array<{update: ClaimUpdate; verdict: Verdict}>; records?: Map<string, ClaimRecord>} {
@@ -137,6 +149,7 @@
 	const id = `${node.id}-${deduplication.nextBatch}`;
 	deduplication.nextBatch += 1;
 	deduplication.writeAt = at + claimWriteIntervalMs;
+	deduplication.settleAt = at + claimSettleIntervalMs;
 	deduplication.batch = {
 		id, results, storeKeys, written,
 	};
--- a/packages/core/src/deduplication/resolve-claims.ts
+++ b/packages/core/src/deduplication/resolve-claims.ts
@@ -12,9 +12,6 @@
 import {flushClaims} from './flush-claims.js';
 import {parseBucket} from './parse-bucket.js';
 
-/** Writes of one claim that end without a known outcome before its request is refused. */
-const maximumUnknownOutcomes = 3;
-
 /** Lost races in a row that are repeated at once; further ones wait for the write interval. */
 const maximumImmediateRepeats = 3;
 
@@ -83,16 +80,15 @@
 	const abandoned: ClaimUpdate[] = [];
 	const repeated: ClaimUpdate[] = [];
 	for (const {update} of batch.results) {
-		const final = reason !== 'outcome-unknown' || update.sent >= maximumUnknownOutcomes;
-		(update.type === 'claim' && final ? abandoned : repeated).push(update);
+		(update.type === 'claim' && reason !== 'outcome-unknown' ? abandoned : repeated).push(update);
 	}
 
 	repeatUpdates(node, repeated);
-	// A claim whose write may have taken effect is put back first, so that its ending releases it.
 	const counter = reason === 'outcome-unknown' ? 'claim.outcome-unknown' : 'claim.unavailable';
 	const effects: Effect[] = [{type: 'count', counter}];
 	for (const update of abandoned) {
-		if (findClaiming(node, update) !== undefined && (reason === 'outcome-unknown' || update.sent > 1)) {
+		// An earlier write of this claim may have taken effect: it stays pending, so that its ending releases it.
+		if (findClaiming(node, update) !== undefined && update.sent > 1) {
 			node.deduplication.pending.set(update.record.claim, update);
 		}
 
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -44,6 +44,7 @@
 			answersLength: 0,
 			nextBatch: 1,
 			writeAt: Number.NEGATIVE_INFINITY,
+			settleAt: Number.NEGATIVE_INFINITY,
 			retryAt: Number.NEGATIVE_INFINITY,
 			conflicts: 0,
 		},
--- a/packages/core/src/placement/choose-worker.ts
+++ b/packages/core/src/placement/choose-worker.ts
@@ -43,13 +43,20 @@
 }
 
 /** A probe that is due goes first: an ejected worker has no free slots to win a comparison with. */
-function chooseProbe(node: Node, pool: string, workers: readonly Worker[], demand: Demand): Worker | undefined {
-	if (!demand.repeatable || (node.placement.ejected.get(pool) ?? 0) === 0) {
+function chooseProbe(node: Node, pool: string, demand: Demand): Worker | undefined {
+	const ejected = node.placement.ejected.get(pool);
+	if (!demand.repeatable || ejected === undefined || ejected.size === 0) {
 		return undefined;
 	}
 
-	for (const worker of workers.slice(0, maximumScannedWorkers)) {
-		if (worker.health === 'ejected' && !demand.avoid.includes(worker.instance.id) && countRoom(node, worker, demand) > 0) {
+	let scanned = 0;
+	for (const worker of ejected) {
+		scanned += 1;
+		if (scanned > maximumScannedWorkers) {
+			return undefined;
+		}
+
+		if (!demand.avoid.includes(worker.instance.id) && countRoom(node, worker, demand) > 0) {
 			return worker;
 		}
 	}
@@ -80,7 +87,7 @@
 		slots, repeatable: task.repeatable, at, avoid: task.failedWorkers,
 	};
 	const {own, other} = subset;
-	const worker = chooseProbe(node, task.pool, own, demand) ?? chooseProbe(node, task.pool, other, demand)
+	const worker = chooseProbe(node, task.pool, demand)
 		?? chooseAmong(node, own, demand) ?? chooseAmong(node, other, demand);
 	if (worker !== undefined || demand.avoid.length === 0) {
 		return worker;
--- a/packages/core/src/placement/record-outcome.ts
+++ b/packages/core/src/placement/record-outcome.ts
@@ -25,12 +25,18 @@
 }
 
 function mayEject(node: Node, pool: string): boolean {
-	const size = node.placement.byPool.get(pool)?.length ?? 0;
+	const subset = node.placement.subsets.get(pool);
+	const size = subset === undefined ? 0 : subset.own.length + subset.other.length;
 	const limit = size < 2 ? 0 : Math.max(1, Math.floor(size * maximumEjectedPart));
-	return (node.placement.ejected.get(pool) ?? 0) < limit;
+	return (node.placement.ejected.get(pool)?.size ?? 0) < limit;
 }
 
-function extendEjection(worker: Worker, at: number): void {
+function extendEjection(node: Node, worker: Worker, at: number): void {
+	const {pool} = worker.instance;
+	const ejected = node.placement.ejected.get(pool) ?? new Set();
+	ejected.delete(worker);
+	ejected.add(worker);
+	node.placement.ejected.set(pool, ejected);
 	worker.ejectedUntil = at + Math.min(maximumEjectionMs, ejectionMs * (2 ** worker.ejections));
 	worker.ejections += 1;
 	worker.probesPassed = 0;
@@ -38,7 +44,7 @@
 
 function recordProbe(node: Node, worker: Worker, good: boolean, at: number): Effect[] {
 	if (!good) {
-		extendEjection(worker, at);
+		extendEjection(node, worker, at);
 		return [];
 	}
 
@@ -47,11 +53,10 @@
 		return [];
 	}
 
-	const {pool} = worker.instance;
 	worker.health = 'healthy';
 	worker.failureRate = 0;
 	worker.returnedAt = at;
-	node.placement.ejected.set(pool, Math.max(0, (node.placement.ejected.get(pool) ?? 1) - 1));
+	node.placement.ejected.get(worker.instance.pool)?.delete(worker);
 	return [{type: 'count', counter: 'worker.returned'}];
 }
 
@@ -85,13 +90,11 @@
 		worker.ejections = 0;
 	}
 
-	const {pool} = worker.instance;
-	if (worker.failureRate < ejectionFailureRate || !mayEject(node, pool)) {
+	if (worker.failureRate < ejectionFailureRate || !mayEject(node, worker.instance.pool)) {
 		return [];
 	}
 
 	worker.health = 'ejected';
-	extendEjection(worker, at);
-	node.placement.ejected.set(pool, (node.placement.ejected.get(pool) ?? 0) + 1);
+	extendEjection(node, worker, at);
 	return [{type: 'count', counter: 'worker.ejected'}];
 }
--- a/packages/core/src/placement/update-subsets.ts
+++ b/packages/core/src/placement/update-subsets.ts
@@ -33,16 +33,20 @@
 	for (const [pool, ids] of byPool) {
 		const own: Worker[] = [];
 		const other: Worker[] = [];
+		const excluded = new Set<Worker>();
 		const hashed = ids.map(id => ({id, hash: hashText(id)}));
 		hashed.sort((a, b) => a.hash - b.hash || (a.id < b.id ? -1 : 1));
 		for (const {id} of hashed) {
 			const worker = workers.get(id);
 			if (worker !== undefined) {
 				(worker.instance.zone === node.zone ? own : other).push(worker);
-				ejected.set(pool, (ejected.get(pool) ?? 0) + (worker.health === 'ejected' ? 1 : 0));
+				if (worker.health === 'ejected') {
+					excluded.add(worker);
+				}
 			}
 		}
 
+		ejected.set(pool, excluded);
 		subsets.set(pool, {own: selectPart(own, position, members.length), other: selectPart(other, position, members.length)});
 	}
 
--- a/packages/core/src/tasks/tick-tasks.ts
+++ b/packages/core/src/tasks/tick-tasks.ts
@@ -30,6 +30,12 @@
 	return effects;
 }
 
+/** Endings that are not written would answer "outcome unknown"; while the store is unavailable they are given up. */
+function areClaimsWritten(node: Node, at: number): boolean {
+	const {pending, batch, retryAt} = node.deduplication;
+	return retryAt > at || (pending.size === 0 && batch === undefined);
+}
+
 /**
  * Refuses tasks past their deadline, starts what can start, and reports the end of a shutdown.
  *
@@ -45,7 +51,7 @@
 		effects.push(...dispatchPool(node, pool, event.at));
 	}
 
-	if (node.tasks.shuttingDown && !node.tasks.shutdownReported && node.tasks.byId.size === 0) {
+	if (node.tasks.shuttingDown && !node.tasks.shutdownReported && node.tasks.byId.size === 0 && areClaimsWritten(node, event.at)) {
 		node.tasks.shutdownReported = true;
 		effects.push({type: 'shutdown-finished'});
 	}
--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -146,3 +146,23 @@
 	const finished = await Promise.all(answers);
 	assert.deepEqual(finished.map(answer => answer.status), [200, 200]);
 });
+
+// Guards against a second run of a request that its caller submits again.
+test('returns the first answer to a second submission with the same idempotency key', async context => {
+	const {daemon, worker, store} = await startSystem(context);
+	const headers = {authorization: `Bearer ${key}`, 'idempotency-key': 'order-1'};
+	const answers = [await submit(daemon.url, {headers}), await submit(daemon.url, {headers})];
+	assert.deepEqual(answers.map(({status, text}) => ({status, text})), [{status: 200, text: 'hello'}, {status: 200, text: 'hello'}]);
+	const reused = await submit(daemon.url, {headers, body: 'other'});
+	assert.deepEqual({reason: reused.reason, execution: reused.execution}, {reason: 'idempotency-key-reused', execution: 'not run'});
+	assert.equal(worker.started.length, 1);
+	assert.equal([...store.model.entries.keys()].filter(entry => entry.startsWith('rosemaryquay/claims/')).length, 1);
+});
+
+test('refuses a request with an idempotency key as "not run" while the store is away', async context => {
+	const {daemon, worker, store} = await startSystem(context);
+	await store.stop();
+	const refused = await submit(daemon.url, {headers: {authorization: `Bearer ${key}`, 'idempotency-key': 'order-1'}});
+	assert.deepEqual({reason: refused.reason, execution: refused.execution}, {reason: 'claim-unavailable', execution: 'not run'});
+	assert.equal(worker.started.length, 0);
+});
--- /dev/null
+++ b/packages/daemon/src/worker-client.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test, type TestContext} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import {type AttemptOutcome} from '@rosemaryquay/core/node/event';
+import {WorkerServer, type WorkerFaults} from '@rosemaryquay/testing/worker-server';
+import {WorkerClient} from './worker-client.js';
+
+async function startWorker(context: TestContext, options: {slots?: number; serviceTimeMs?: number} = {}): Promise<{worker: WorkerServer; client: WorkerClient}> {
+	const worker = new WorkerServer(options);
+	await worker.start();
+	const client = new WorkerClient({holder: 'entry-1'});
+	context.after(async () => {
+		await client.close();
+		await worker.stop();
+	});
+	return {worker, client};
+}
+
+async function attempt(client: WorkerClient, address: string, attemptId: string): Promise<AttemptOutcome> {
+	const {outcome} = await client.start({
+		attemptId, address, contentType: 'text/plain', body: Buffer.from('hello'), timeoutMs: 5000, signal: new AbortController().signal,
+	});
+	return outcome;
+}
+
+// Guards against an answer of another request that is passed on, and against a retry after work that may have run.
+const outcomes: ReadonlyArray<{name: string; faults: Partial<WorkerFaults>; expected: AttemptOutcome}> = [
+	{name: 'no fault', faults: {}, expected: {type: 'succeeded'}},
+	{name: 'swapped answer', faults: {swapAnswers: true}, expected: {type: 'lost', cause: 'answer-mismatched'}},
+	{name: 'lost answer', faults: {loseAnswers: true}, expected: {type: 'lost', cause: 'connection-lost'}},
+	{name: 'failure', faults: {failAll: true}, expected: {type: 'failed', status: 500}},
+	{name: 'leaving', faults: {leaving: true}, expected: {type: 'not-started', cause: 'leaving'}},
+];
+
+for (const {name, faults, expected} of outcomes) {
+	test(`classifies the outcome of an attempt: ${name}`, async context => {
+		const {worker, client} = await startWorker(context);
+		Object.assign(worker.faults, faults);
+		assert.deepEqual(await attempt(client, worker.address, 'a-1'), expected);
+	});
+}
+
+test('classifies an attempt that could not be sent as not started', async context => {
+	const {worker, client} = await startWorker(context);
+	const {address} = worker;
+	await worker.stop();
+	assert.deepEqual(await attempt(client, address, 'a-1'), {type: 'not-started', cause: 'connection-refused'});
+});
+
+test('reads the usage of a worker', async context => {
+	const {worker, client} = await startWorker(context);
+	assert.equal(await client.readUsage(worker.address), 0);
+});
+
+async function post(worker: WorkerServer, attemptId: string, leaseMs: number): Promise<string> {
+	const response = await request(`${worker.address}/tasks`, {
+		method: 'POST', headers: {'rosemaryquay-attempt': attemptId, 'rosemaryquay-holder': 'entry-1', 'rosemaryquay-lease-ms': String(leaseMs)}, body: 'hello',
+	}).catch(() => undefined);
+	await response?.body.dump();
+	return response === undefined ? 'stopped' : String(response.headers['rosemaryquay-not-run'] ?? response.statusCode);
+}
+
+// Guards against a holder that was paused past its lease and starts work that others may have started since.
+test('a worker refuses the attempts of a lapsed lease until its holder renews it', async context => {
+	const {worker, client} = await startWorker(context);
+	assert.equal(await post(worker, 'a-1', 1), '200');
+	await delay(20);
+	assert.equal(await post(worker, 'a-2', 60_000), 'lease-lapsed');
+	assert.equal(await client.renewLease(worker.address), true);
+	assert.equal(await post(worker, 'a-3', 60_000), '200');
+	assert.deepEqual(worker.started, ['a-1', 'a-3']);
+});
+
+test('a worker stops the tasks of a lapsed lease', async context => {
+	const {worker} = await startWorker(context, {serviceTimeMs: 60_000});
+	assert.equal(await post(worker, 'a-1', 1), 'stopped');
+});
+
+test('a holder renews a lapsed lease before its next attempt', async context => {
+	const {worker, client} = await startWorker(context);
+	await post(worker, 'a-1', 1);
+	await delay(20);
+	assert.deepEqual(await attempt(client, worker.address, 'a-2'), {type: 'not-started', cause: 'lease-lapsed'});
+	assert.deepEqual(await attempt(client, worker.address, 'a-3'), {type: 'succeeded'});
+});
--- a/packages/daemon/src/worker-client.ts
+++ b/packages/daemon/src/worker-client.ts
@@ -94,7 +94,8 @@
 
 			const mismatched = response.headers[attemptHeader] !== attemptId;
 			if (mismatched || Number(response.headers['content-length'] ?? 0) > this.#answerBytes) {
-				response.body.destroy();
+				// Destroying an unread body emits an error, which would stop the process if nothing handled it.
+				response.body.once('error', () => undefined).destroy();
 				return {outcome: {type: 'lost', cause: mismatched ? 'answer-mismatched' : 'answer-incomplete'}};
 			}
 
@@ -166,7 +167,7 @@
 	#pool(address: string): Pool {
 		let pool = this.#pools.get(address);
 		if (pool === undefined) {
-			pool = new Pool(address, {connections: this.#connections});
+			pool = new Pool(address, {connections: this.#connections, maxResponseSize: this.#answerBytes});
 			this.#pools.set(address, pool);
 		}
 
--- /dev/null
+++ b/packages/measure/src/experiments/at-most-once.ts
@@ -0,0 +1,240 @@
+/**
+ * Double runs and false "not run" answers over a fault table crossed with seeds.
+ */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createNode} from '@rosemaryquay/core/node/create-node';
+import {type AttemptOutcome} from '@rosemaryquay/core/node/event';
+import {checkBound} from '../check-bound.js';
+import {createUserNodes} from '../create-user-nodes.js';
+import {type Experiment} from '../experiment.js';
+import {listUsers, loadUser, type User} from '../load-user.js';
+import {Pump} from '../pump.js';
+import {startNode} from '../start-node.js';
+
+const seedsPerCase = 4;
+const keysPerRun = 300;
+const arrivalsMs = 10_000;
+const endMs = 45_000;
+const deadlineMs = 8000;
+const serviceMs = {min: 20, max: 400};
+const answer = {status: 200, contentType: 'application/json', body: 'e30='};
+
+/** Faults act between these times. */
+const faultFromMs = 2000;
+const faultUntilMs = 7000;
+
+type Run = {
+	readonly pump: Pump;
+	readonly user: User;
+	readonly random: ReturnType<typeof xoroshiro128plus>;
+	outcome(attempt: {attemptId: string; at: number}): AttemptOutcome | undefined;
+};
+
+type Fault = (run: Run) => void;
+
+function chance(run: Run, part: number): boolean {
+	return uniformInt(run.random, 0, 999) < part * 1000;
+}
+
+const faults: Readonly<Record<string, Fault>> = {
+	none() {
+		// The case without faults shows that requests run at all.
+	},
+	'worker answer lost'(run) {
+		run.outcome = () => (chance(run, 0.2) ? {type: 'lost', cause: 'connection-lost'} : undefined);
+	},
+	'worker answer duplicated'(run) {
+		run.outcome = ({attemptId}) => {
+			const nodeId = [...run.pump.nodes.keys()].find(id => attemptId.startsWith(`${id}-`)) ?? '';
+			for (const delayMs of [5, 500, 3000]) {
+				run.pump.after(serviceMs.max + delayMs, () => {
+					run.pump.deliver(nodeId, {type: 'attempt-finished', attemptId, outcome: {type: 'lost', cause: 'connection-lost'}});
+				});
+			}
+
+			return undefined;
+		};
+	},
+	'worker refuses or fails'(run) {
+		const outcomes: readonly AttemptOutcome[] = [{type: 'not-started', cause: 'connection-refused'}, {type: 'not-started', cause: 'leaving'}, {type: 'failed', status: 500}];
+		run.outcome = () => (chance(run, 0.3) ? outcomes[uniformInt(run.random, 0, outcomes.length - 1)] : undefined);
+	},
+	'store answer lost'({pump}) {
+		pump.at(faultFromMs, () => {
+			pump.storeCondition = {loseAnswers: 0.4};
+		});
+	},
+	'store down'({pump}) {
+		pump.at(faultFromMs, () => {
+			pump.storeCondition = {down: true};
+		});
+		pump.at(faultUntilMs, () => {
+			pump.storeCondition = {};
+		});
+	},
+	'store slow, answers lost, then down'({pump}) {
+		pump.storeCondition = {loseAnswers: 0.5, delayMs: 700};
+		pump.at(faultFromMs, () => {
+			pump.storeCondition = {down: true};
+		});
+		pump.at(faultUntilMs, () => {
+			pump.storeCondition = {delayMs: 1500, loseAnswers: 0.3};
+		});
+	},
+	'instance crash'({pump, user}) {
+		for (const [index, id] of ['entry-1', 'entry-2'].entries()) {
+			pump.at(faultFromMs + (index * 1500), () => {
+				pump.stop(id);
+				const zone = pump.nodes.get(id)?.zone ?? '';
+				pump.nodes.delete(id);
+				pump.addNode(createNode({id: `${id}r`, zone, seed: 100 + index}));
+				startNode(pump, user, `${id}r`);
+				for (const other of pump.nodes.keys()) {
+					pump.deliver(other, {type: 'peers-listed', members: [...pump.nodes.keys()]});
+				}
+			});
+		}
+	},
+	'instance paused'({pump}) {
+		for (const [index, id] of ['entry-1', 'entry-2', 'entry-3'].entries()) {
+			pump.at(faultFromMs + (index * 700), () => {
+				pump.pause(id, pump.now + 3000 + (index * 5000));
+			});
+		}
+	},
+	'instance paused, store answers lost'(run) {
+		faults['instance paused']?.(run);
+		faults['store answer lost']?.(run);
+	},
+};
+
+type Tally = {keys: number; neverRun: number; doubleRuns: number; falseNotRun: number; answered: number; submissions: number; storeWrites: number};
+
+/** Each caller submits its request up to three times, to any instances, at once or later. */
+function submitAll(run: Run, options: {keyed: boolean; queues: ReadonlyArray<readonly [string, string]>}): Map<string, string> {
+	const {pump, random} = run;
+	const keyOfTask = new Map<string, string>();
+	for (let index = 0; index < keysPerRun; index++) {
+		const key = `key-${index}`;
+		const [queue, keyHash] = options.queues[index % options.queues.length] ?? ['', ''];
+		const firstAt = uniformInt(random, 0, arrivalsMs);
+		const submissions = 1 + uniformInt(random, 0, 2);
+		for (let copy = 0; copy < submissions; copy++) {
+			const taskId = `${key}-${copy}`;
+			const laterMs = [0, uniformInt(random, 1, 30), uniformInt(random, 100, 12_000)][uniformInt(random, 0, 2)] ?? 0;
+			keyOfTask.set(taskId, key);
+			pump.at(firstAt + (copy === 0 ? 0 : laterMs), () => {
+				const ids = [...pump.nodes.keys()];
+				pump.deliver(ids[uniformInt(random, 0, ids.length - 1)] ?? '', {
+					type: 'request-arrived', arrival: {
+						id: taskId, queue, keyHash, bodyBytes: 100, fingerprint: key, deadlineMs, ...(options.keyed && {idempotencyKey: key}),
+					},
+				});
+			});
+		}
+	}
+
+	return keyOfTask;
+}
+
+function tally(pump: Pump, keyOfTask: ReadonlyMap<string, string>): Tally {
+	const starts = new Map<string, number>();
+	const started = new Set<string>();
+	let answered = 0;
+	let falseNotRun = 0;
+	for (const entry of pump.trace) {
+		if (entry.type === 'started') {
+			const key = keyOfTask.get(entry.taskId) ?? '';
+			started.add(entry.taskId);
+			starts.set(key, (starts.get(key) ?? 0) + 1);
+		} else if (entry.type === 'answered') {
+			answered += 1;
+		}
+	}
+
+	for (const entry of pump.trace) {
+		if (entry.type === 'refused' && entry.refusal.execution === 'not run' && started.has(entry.taskId)) {
+			falseNotRun += 1;
+		}
+	}
+
+	const doubleRuns = [...starts.values()].reduce((sum, count) => sum + Math.max(0, count - 1), 0);
+	return {
+		keys: keysPerRun, neverRun: keysPerRun - starts.size, doubleRuns, falseNotRun, answered, submissions: keyOfTask.size, storeWrites: pump.storeCalls,
+	};
+}
+
+function runCase(user: User, fault: Fault, options: {seed: number; keyed: boolean}): Tally {
+	const random = xoroshiro128plus(options.seed);
+	const model: Pick<Run, 'outcome'> = {outcome: () => undefined};
+	const pump = new Pump({
+		nodes: createUserNodes(user, {seed: options.seed}),
+		seed: options.seed,
+		worker: {
+			slots: 8,
+			serviceTimeMs: () => uniformInt(random, serviceMs.min, serviceMs.max),
+			outcome: attempt => model.outcome(attempt) ?? {type: 'succeeded', answer},
+		},
+	});
+	for (const id of pump.nodes.keys()) {
+		startNode(pump, user, id);
+	}
+
+	const run: Run = Object.assign(model, {pump, user, random});
+	fault(run);
+	const hashes = Object.values(user.catalogue.teams).flatMap(team => Object.values(team.keys).slice(0, 1).map(key => key.hash));
+	const names = Object.entries(user.catalogue.queues).filter(([, queue]) => !queue.repeatable).map(([name]) => name);
+	const queues = hashes.flatMap(hash => names.map(name => [name, hash] as const));
+	const keyOfTask = submitAll(run, {keyed: options.keyed, queues});
+	pump.run(endMs);
+	return tally(pump, keyOfTask);
+}
+
+function add(sum: Tally, next: Tally): Tally {
+	const total = {...sum};
+	for (const name of Object.keys(next) as Array<keyof Tally>) {
+		total[name] += next[name];
+	}
+
+	return total;
+}
+
+const emptyTally: Tally = {
+	keys: 0, neverRun: 0, doubleRuns: 0, falseNotRun: 0, answered: 0, submissions: 0, storeWrites: 0,
+};
+
+export const atMostOnce: Experiment = {
+	summary: 'Double runs and false "not run" over faults of workers, store and instances, with callers that submit again',
+	run({seed}) {
+		const users = listUsers().map(name => loadUser(name));
+		const cases: Record<string, Tally> = {};
+		let total = emptyTally;
+		let baseline = emptyTally;
+		for (const [name, fault] of Object.entries(faults)) {
+			for (const user of users) {
+				let sum = emptyTally;
+				for (let round = 0; round < seedsPerCase; round++) {
+					sum = add(sum, runCase(user, fault, {seed: (seed * 1000) + round, keyed: true}));
+				}
+
+				cases[`${name}, ${user.name}`] = sum;
+				total = add(total, sum);
+				baseline = add(baseline, runCase(user, fault, {seed: seed * 1000, keyed: false}));
+			}
+		}
+
+		const neverRunWithoutFaults = users.reduce((sum, user) => sum + (cases[`none, ${user.name}`]?.neverRun ?? 0), 0);
+		return {
+			bounds: [
+				checkBound('double runs', total.doubleRuns, {comparison: 'atMost', limit: 0, unit: 'runs'}),
+				checkBound('false "not run"', total.falseNotRun, {comparison: 'atMost', limit: 0, unit: 'refusals'}),
+				checkBound('keys never run without faults', neverRunWithoutFaults, {comparison: 'atMost', limit: 0, unit: 'keys'}),
+			],
+			baselines: [{
+				name: 'without claims, a quarter of the runs', measure: 'double runs', unit: 'runs', value: baseline.doubleRuns,
+			}],
+			details: {total, cases},
+		};
+	},
+};
--- a/packages/testing/src/request-fixture.ts
+++ b/packages/testing/src/request-fixture.ts
@@ -21,7 +21,7 @@
 export const keyHashes = {first: 'a'.repeat(64), second: 'b'.repeat(64)};
 
 /** What the store does with the next calls. */
-export type StoreFault = 'none' | 'down' | 'answer-lost' | 'call-lost';
+export type StoreFault = 'none' | 'down' | 'answer-lost' | 'call-lost' | 'call-late';
 
 type Answer = (store: StoreModel, effect: EffectOf<'store-transact'>) => StoreOutcome<TransactionResult>;
 
@@ -33,6 +33,7 @@
 		return {ok: false, reason: 'outcome-unknown'};
 	},
 	'call-lost': () => ({ok: false, reason: 'outcome-unknown'}),
+	'call-late': () => ({ok: false, reason: 'outcome-unknown'}),
 };
 
 export type FixtureOptions = {
@@ -74,6 +75,7 @@
 	at = 0;
 	readonly #instances: ListedInstance[];
 	readonly #running: number;
+	readonly #late: Array<EffectOf<'store-transact'>> = [];
 	#revision = 0;
 
 	constructor(options: FixtureOptions = {}) {
@@ -130,7 +132,7 @@
 		this.effects.push(...effects);
 		return effects.flatMap(effect => (effect.type === 'store-transact'
 			? [effect, ...this.apply({
-				type: 'store-transacted', at: this.at, purpose: effect.purpose, id: effect.id, outcome: storeFaults[this.storeFaults.shift() ?? 'none'](this.store, effect),
+				type: 'store-transacted', at: this.at, purpose: effect.purpose, id: effect.id, outcome: this.#callStore(effect),
 			})]
 			: [effect]));
 	}
@@ -159,4 +161,19 @@
 
 		return effects;
 	}
+
+	/** A late call takes effect after the call that follows it. */
+	#callStore(effect: EffectOf<'store-transact'>): StoreOutcome<TransactionResult> {
+		const fault = this.storeFaults.shift() ?? 'none';
+		const outcome = storeFaults[fault](this.store, effect);
+		for (const {transaction} of this.#late.splice(0)) {
+			this.store.transact(transaction);
+		}
+
+		if (fault === 'call-late') {
+			this.#late.push(effect);
+		}
+
+		return outcome;
+	}
 }
--- a/packages/testing/src/worker-server.ts
+++ b/packages/testing/src/worker-server.ts
@@ -14,6 +14,8 @@
 	loseAnswers: boolean;
 	/** Answers are cut short. */
 	truncateAnswers: boolean;
+	/** Answers carry the identifier of another attempt. */
+	swapAnswers: boolean;
 	/** New tasks are refused because the worker is leaving. */
 	leaving: boolean;
 };
@@ -29,7 +31,7 @@
 
 export class WorkerServer {
 	readonly faults: WorkerFaults = {
-		failAll: false, loseAnswers: false, truncateAnswers: false, leaving: false,
+		failAll: false, loseAnswers: false, truncateAnswers: false, swapAnswers: false, leaving: false,
 	};
 
 	/** Identifiers of all attempts that ran, in order. */
@@ -133,7 +135,7 @@
 	}
 
 	#answer(request: IncomingMessage, body: Uint8Array, response: ServerResponse): void {
-		const attempt = String(request.headers[attemptHeader]);
+		const attempt = this.faults.swapAnswers ? 'another-attempt' : String(request.headers[attemptHeader]);
 		if (this.faults.loseAnswers) {
 			response.destroy();
 			return;
