Log ejections and parked jobs, and test cancellations and pauses

Cause: sixteen faults put into a scratch copy left four unnoticed by the tests: freeing the slot of running work that may not be repeated, starting a task whose deadline passed during a pause, ignoring usage reports, and losing the count of a worker that is missing from one instance list. Operators could see ejected workers and parked jobs only as counters without a name.

The one-shot hash replaces the hash object on the request path; its effect has not been measured yet.

--- a/packages/core/src/deduplication/answer-from-claim.ts
+++ b/packages/core/src/deduplication/answer-from-claim.ts
@@ -4,6 +4,7 @@
 import {type TaskEnding, endTask} from '../tasks/end-task.js';
 import {listSummaries} from '../membership/list-summaries.js';
 import {type ClaimRecord} from './deduplication.js';
+import {describeClaim} from './describe-claim.js';
 
 /** An open claim is in progress while its holder is known and its deadline has not passed. */
 function isInProgress(node: Node, record: ClaimRecord, at: number): boolean {
@@ -15,7 +16,7 @@
 }
 
 function describeAnswer(node: Node, task: Task, record: ClaimRecord, at: number): TaskEnding {
-	if (record.fingerprint !== task.fingerprint) {
+	if (record.fingerprint !== describeClaim(node, task).fingerprint) {
 		return {type: 'refused', reason: 'idempotency-key-reused'};
 	}
 
--- a/packages/core/src/deduplication/begin-claim.ts
+++ b/packages/core/src/deduplication/begin-claim.ts
@@ -2,15 +2,16 @@
 import {type Effect} from '../node/effect.js';
 import {type Node, type Task} from '../node/node.js';
 import {endTask} from '../tasks/end-task.js';
+import {type ClaimRecord} from './deduplication.js';
 import {describeClaim} from './describe-claim.js';
 import {flushClaims} from './flush-claims.js';
 import {locateClaim} from './locate-claim.js';
 
-function findLocal(node: Node, task: Task, key: string, at: number): Effect[] | undefined {
+function findLocal(node: Node, task: Task, {key, fingerprint}: ClaimRecord, at: number): Effect[] | undefined {
 	const {active, answers} = node.deduplication;
 	const other = node.tasks.byId.get(active.get(key) ?? '');
 	if (other !== undefined) {
-		return endTask(node, task, {type: 'refused', reason: other.fingerprint === task.fingerprint ? 'request-in-progress' : 'idempotency-key-reused'}, at);
+		return endTask(node, task, {type: 'refused', reason: describeClaim(node, other).fingerprint === fingerprint ? 'request-in-progress' : 'idempotency-key-reused'}, at);
 	}
 
 	const kept = answers.get(key);
@@ -18,7 +19,7 @@
 		return undefined;
 	}
 
-	return endTask(node, task, kept.fingerprint === task.fingerprint
+	return endTask(node, task, kept.fingerprint === fingerprint
 		? {type: 'replayed', answer: kept.answer}
 		: {type: 'refused', reason: 'idempotency-key-reused'}, at);
 }
@@ -36,7 +37,7 @@
 export function beginClaim(node: Node, task: Task, at: number): Effect[] {
 	const {active, pending, prefix} = node.deduplication;
 	const record = describeClaim(node, task);
-	const known = findLocal(node, task, record.key, at);
+	const known = findLocal(node, task, record, at);
 	if (known !== undefined) {
 		return known;
 	}
--- a/packages/core/src/deduplication/describe-claim.ts
+++ b/packages/core/src/deduplication/describe-claim.ts
@@ -13,7 +13,7 @@
 export function describeClaim(node: Node, task: Task): ClaimRecord {
 	return {
 		key: `${task.team}/${task.idempotencyKey ?? ''}`,
-		fingerprint: task.fingerprint ?? '',
+		fingerprint: `${task.queue}/${task.fingerprint ?? ''}`,
 		claim: `${node.id}/${task.id}`,
 		holder: node.id,
 		state: 'open',
--- a/packages/core/src/node/effect.ts
+++ b/packages/core/src/node/effect.ts
@@ -26,7 +26,8 @@
 	| {readonly type: 'store-list'; readonly purpose: Purpose; readonly id: string; readonly prefix: string}
 	/** Sends a message to another member; it may be lost, late or duplicated. */
 	| {readonly type: 'peer-send'; readonly to: string; readonly message: Message}
-	| {readonly type: 'count'; readonly counter: Counter}
+	/** `subject` names the worker or job that the count is about. */
+	| {readonly type: 'count'; readonly counter: Counter; readonly subject?: string}
 	/** All tasks have ended after `shutdown-requested`. */
 	| {readonly type: 'shutdown-finished'};
 
--- a/packages/core/src/node/event.ts
+++ b/packages/core/src/node/event.ts
@@ -14,7 +14,7 @@
 	/** SHA-256 hash of the presented key, hexadecimal. */
 	readonly keyHash?: string;
 	readonly idempotencyKey?: string;
-	/** Hash of queue and body; distinguishes reuse of an idempotency key and recognises jobs that fail everywhere. */
+	/** Hash of the body; distinguishes reuse of an idempotency key and recognises jobs that fail everywhere. */
 	readonly fingerprint?: string;
 	readonly bodyBytes: number;
 	/** Deadline that the caller asked for, relative to arrival. */
--- a/packages/core/src/placement/record-outcome.ts
+++ b/packages/core/src/placement/record-outcome.ts
@@ -57,7 +57,7 @@
 	worker.failureRate = 0;
 	worker.returnedAt = at;
 	node.placement.ejected.get(worker.instance.pool)?.delete(worker);
-	return [{type: 'count', counter: 'worker.returned'}];
+	return [{type: 'count', counter: 'worker.returned', subject: worker.instance.id}];
 }
 
 /**
@@ -96,5 +96,5 @@
 
 	worker.health = 'ejected';
 	extendEjection(node, worker, at);
-	return [{type: 'count', counter: 'worker.ejected'}];
+	return [{type: 'count', counter: 'worker.ejected', subject: workerId}];
 }
--- a/packages/core/src/placement/record-refusal.ts
+++ b/packages/core/src/placement/record-refusal.ts
@@ -14,7 +14,7 @@
 	},
 	leaving(_node, worker, at) {
 		worker.leavingAt = at;
-		return [{type: 'count', counter: 'worker.leaving'}];
+		return [{type: 'count', counter: 'worker.leaving', subject: worker.instance.id}];
 	},
 };
 
--- a/packages/core/src/tasks/finish-attempt.ts
+++ b/packages/core/src/tasks/finish-attempt.ts
@@ -24,7 +24,7 @@
 	const {ending, counter} = options;
 	task.mayHaveRun = true;
 	task.failedWorkers.push(workerId);
-	const counts: Effect[] = recordFailure(node, task, workerId, at) ? [{type: 'count', counter: 'job.parked'}] : [];
+	const counts: Effect[] = recordFailure(node, task, workerId, at) ? [{type: 'count', counter: 'job.parked', subject: `${task.queue}/${task.fingerprint ?? ''}`}] : [];
 	if (at >= task.deadlineAt) {
 		return [...counts, ...endTask(node, task, {type: 'refused', reason: 'deadline-exceeded-running'}, at)];
 	}
--- a/packages/daemon/src/http/read-request.ts
+++ b/packages/daemon/src/http/read-request.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
+import {hash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
 import {type Arrival} from '@rosemaryquay/core/node/event';
 import {type Reason} from '@rosemaryquay/core/refusal';
@@ -101,10 +101,10 @@
 			id,
 			queue,
 			bodyBytes: body.length,
-			...(key !== undefined && {keyHash: createHash('sha256').update(key).digest('hex')}),
+			...(key !== undefined && {keyHash: hash('sha256', key)}),
 			...(deadlineMs !== undefined && {deadlineMs}),
 			...(idempotencyKey !== undefined && {idempotencyKey}),
-			...((idempotencyKey !== undefined || body.length <= maximumFingerprintedBytes) && {fingerprint: createHash('sha256').update(queue).update('\0').update(body).digest('hex')}),
+			...((idempotencyKey !== undefined || body.length <= maximumFingerprintedBytes) && {fingerprint: hash('sha256', body)}),
 		},
 	};
 }
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -33,6 +33,21 @@
 	'request-malformed': {
 		number: 201, level: 'debug', text: 'A request could not be read', action: 'None; the caller received the reason.',
 	},
+	'worker-ejected': {
+		number: 210, level: 'warn', text: 'A worker fails most of what it runs and gets no more work until it passes its probes', action: 'Look at the worker named in `subject`.',
+	},
+	'worker-returned': {
+		number: 211, level: 'info', text: 'An ejected worker has passed its probes and returns', action: 'None.',
+	},
+	'worker-leaving': {
+		number: 212, level: 'info', text: 'A worker refused work because it is leaving', action: 'None; if the instance list shows it as live for long, check the list.',
+	},
+	'job-parked': {
+		number: 213, level: 'warn', text: 'A job failed on several workers in a row and is parked for a minute', action: 'Tell the owner of the queue in `subject`; other jobs are not affected.',
+	},
+	'answer-mismatched': {
+		number: 214, level: 'error', text: 'A worker returned the answer of another attempt; it was dropped', action: 'Check the worker software and any proxy in front of it.',
+	},
 	'catalogue-loaded': {
 		number: 300, level: 'info', text: 'A catalogue revision is in force', action: 'None.',
 	},
--- a/packages/daemon/src/perform-effect.ts
+++ b/packages/daemon/src/perform-effect.ts
@@ -1,5 +1,7 @@
+import {type Counter} from '@rosemaryquay/core/node/counters';
 import {type Effect, type EffectOf} from '@rosemaryquay/core/node/effect';
 import {type Host} from './host.js';
+import {type LogEvent} from './log-events.js';
 import {answerRecorded} from './performers/answer-recorded.js';
 import {answerRequest} from './performers/answer-request.js';
 import {cancelAttempt} from './performers/cancel-attempt.js';
@@ -10,6 +12,15 @@
 
 type Performer<Type extends Effect['type']> = (host: Host, effect: EffectOf<Type>) => void | Promise<void>;
 
+/** Counters whose every increment is also logged. */
+const loggedCounters: ReadonlyMap<Counter, LogEvent> = new Map([
+	['worker.ejected', 'worker-ejected'],
+	['worker.returned', 'worker-returned'],
+	['worker.leaving', 'worker-leaving'],
+	['job.parked', 'job-parked'],
+	['attempt.mismatched-answer', 'answer-mismatched'],
+]);
+
 const performers: {readonly [Type in Effect['type']]: Performer<Type>} = {
 	'start-attempt': startAttempt,
 	'cancel-attempt': cancelAttempt,
@@ -23,6 +34,10 @@
 	},
 	count(host, effect) {
 		host.metrics.count(effect.counter);
+		const logged = loggedCounters.get(effect.counter);
+		if (logged !== undefined) {
+			host.logger.log(logged, {subject: effect.subject});
+		}
 	},
 	'shutdown-finished'(host) {
 		host.shutdownFinished();
--- a/packages/testing/src/request-fixture.ts
+++ b/packages/testing/src/request-fixture.ts
@@ -119,9 +119,10 @@
 		return this.apply({type: 'catalogue-loaded', at: this.at, snapshot: createSnapshot(parsed.catalogue, this.#revision)});
 	}
 
-	/** Lists the instances, some of them as leaving. */
-	list(leaving: readonly string[] = []): Effect[] {
-		const instances = this.#instances.map(instance => ({...instance, state: leaving.includes(instance.id) ? 'leaving' as const : 'live' as const}));
+	/** Lists the instances, some of them as leaving or not at all. */
+	list(leaving: readonly string[] = [], absent: readonly string[] = []): Effect[] {
+		const listed = this.#instances.filter(instance => !absent.includes(instance.id));
+		const instances = listed.map(instance => ({...instance, state: leaving.includes(instance.id) ? 'leaving' as const : 'live' as const}));
 		return this.apply({type: 'instances-listed', at: this.at, instances});
 	}
 
--- a/packages/testing/src/requests/attempts.test.ts
+++ b/packages/testing/src/requests/attempts.test.ts
@@ -195,3 +195,48 @@
 
 	assert.equal(fixture.node.placement.workers.get('w-0')?.running, 8);
 });
+
+// Guards against an upper limit that is exceeded by work which still runs for a caller that is gone.
+test('keeps the slot of running work that may not be repeated until it ends', () => {
+	const fixture = new RequestFixture({running: 1});
+	const attemptId = attemptOf(fixture.arrive('r-1'));
+	fixture.arrive('r-2', {fingerprint: 'f-2'});
+	const cancel = {type: 'request-cancelled', at: 0, taskId: 'r-1'} as const;
+	assert.deepEqual([...fixture.apply(cancel), ...fixture.apply(cancel)], []);
+	assert.equal(fixture.node.limits.running.get('first'), 1);
+	assert.equal(describe(fixture.finish(attemptId)), 'start-attempt');
+	assert.equal(fixture.node.limits.running.get('first'), 1);
+});
+
+test('frees everything that a wave of cancellations held', () => {
+	const fixture = new RequestFixture({running: 20});
+	for (let index = 0; index < 200; index++) {
+		fixture.arrive(`r-${index}`, {queue: 'mail', fingerprint: `f-${index}`});
+	}
+
+	for (let index = 0; index < 200; index++) {
+		fixture.apply({type: 'request-cancelled', at: fixture.at, taskId: `r-${index}`});
+	}
+
+	const {tasks, limits, placement} = fixture.node;
+	assert.deepEqual([tasks.byId.size, tasks.attempts.size, limits.running.get('first')], [0, 0, 0]);
+	assert.ok([...placement.workers.values()].every(worker => worker.running === 0));
+});
+
+test('does not start a task whose deadline passed while the process was paused', () => {
+	const fixture = new RequestFixture({running: 1});
+	const attemptId = attemptOf(fixture.arrive('r-1'));
+	fixture.arrive('r-2', {deadlineMs: 1000});
+	fixture.at = 20_000;
+	assert.equal(describe(fixture.finish(attemptId).filter(effect => effect.type !== 'answer')), 'deadline-exceeded, not run');
+});
+
+test('starts nothing on workers that others have filled until the report is too old', () => {
+	const fixture = new RequestFixture({running: 100});
+	fixture.apply({type: 'usage-reported', at: 0, usage: ['w-0', 'w-1', 'w-2'].map(workerId => ({workerId, runningSlots: 8}))});
+	const started = fixture.arrive('r-1').find(effect => effect.type === 'start-attempt');
+	assert.equal(started?.workerId, 'w-3');
+	fixture.advance(3100);
+	const later = fixture.arrive('r-2').find(effect => effect.type === 'start-attempt');
+	assert.ok(['w-0', 'w-2'].includes(later?.workerId ?? ''));
+});
--- a/packages/testing/src/requests/claims.test.ts
+++ b/packages/testing/src/requests/claims.test.ts
@@ -11,7 +11,7 @@
 
 // Guards against a second run of a request whose first submission is known to any instance.
 const seconds: ReadonlyArray<{
-	name: string; sameInstance: boolean; holderKnown?: boolean; ending?: 'answered' | 'answered-large' | 'lost'; fingerprint?: string; keyHash?: string; expected: string;
+	name: string; sameInstance: boolean; holderKnown?: boolean; ending?: 'answered' | 'answered-large' | 'lost'; queue?: string; fingerprint?: string; keyHash?: string; expected: string;
 }> = [
 	{name: 'first runs here', sameInstance: true, expected: 'request-in-progress, not run'},
 	{
@@ -39,6 +39,9 @@
 	{
 		name: 'key reused elsewhere with another body', sameInstance: false, ending: 'answered', fingerprint: 'f-2', expected: 'idempotency-key-reused, not run',
 	},
+	{
+		name: 'key reused here on another queue', sameInstance: true, queue: 'mail', expected: 'idempotency-key-reused, not run',
+	},
 	{
 		name: 'same key of another team', sameInstance: false, keyHash: keyHashes.second, expected: 'start-attempt',
 	},
@@ -50,7 +53,7 @@
 	lost: {type: 'lost', cause: 'connection-lost'},
 } as const;
 
-for (const {name, sameInstance, holderKnown = false, ending, fingerprint = 'f-1', keyHash = keyHashes.first, expected} of seconds) {
+for (const {name, sameInstance, holderKnown = false, ending, queue = 'orders', fingerprint = 'f-1', keyHash = keyHashes.first, expected} of seconds) {
 	test(`answers a second submission: ${name}`, () => {
 		const store = new StoreModel();
 		const first = new RequestFixture({store});
@@ -62,7 +65,9 @@
 
 		first.advance(600);
 		second.at = first.at;
-		assert.equal(describe(second.arrive('r-2', {...keyed, fingerprint, keyHash})), expected);
+		assert.equal(describe(second.arrive('r-2', {
+			...keyed, queue, fingerprint, keyHash,
+		})), expected);
 	});
 }
 
--- a/packages/testing/src/requests/properties.test.ts
+++ b/packages/testing/src/requests/properties.test.ts
@@ -23,7 +23,7 @@
 	fc.record({type: fc.constant('advance' as const), durationMs: fc.constantFrom(1, 100, 900, 6000)}),
 	fc.record({type: fc.constant('store' as const), fault: fc.constantFrom(...storeFaults)}),
 	fc.record({type: fc.constant('withdraw' as const), zones: fc.subarray(['zone-a', 'zone-b'])}),
-	fc.record({type: fc.constant('list' as const), leaving: fc.subarray(['w-0', 'w-1', 'w-2'])}),
+	fc.record({type: fc.constant('list' as const), leaving: fc.subarray(['w-0', 'w-1', 'w-2']), absent: fc.subarray(['w-1', 'w-2'])}),
 ), {minLength: 20, maxLength: 120});
 
 type Step = typeof steps extends fc.Arbitrary<infer Value> ? (Value extends Array<infer Item> ? Item : never) : never;
@@ -65,8 +65,8 @@
 			withdraw({zones}) {
 				fixture.withdraw(zones);
 			},
-			list({leaving}) {
-				fixture.list(leaving);
+			list({leaving, absent}) {
+				fixture.list(leaving, absent);
 			},
 		};
 		const started = new Set(fixture.node.tasks.attempts.keys());
@@ -125,6 +125,7 @@
 		}
 
 		run.apply({type: 'withdraw', zones: []});
+		run.apply({type: 'list', leaving: [], absent: []});
 		run.apply({type: 'advance', durationMs: 6000});
 		for (let round = 0; round < 20; round++) {
 			for (const attemptId of run.fixture.node.tasks.attempts.keys()) {
