--- a/packages/core/src/catalogue/load-catalogue.ts
+++ b/packages/core/src/catalogue/load-catalogue.ts
@@ -1,5 +1,6 @@
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
+import {recordZones} from '../shares/record-zones.js';
 import {type Node} from '../node/node.js';
 
 /**
@@ -14,6 +15,7 @@
 export function loadCatalogue(node: Node, event: EventOf<'catalogue-loaded'>): Effect[] {
 	if (event.snapshot.revision > node.snapshot.revision) {
 		node.snapshot = event.snapshot;
+		recordZones(node, event.at);
 	}
 
 	return [];
--- a/packages/core/src/catalogue/refresh-catalogue.ts
+++ b/packages/core/src/catalogue/refresh-catalogue.ts
@@ -2,6 +2,7 @@
 import {correctionSpreadLimitMs, correctionSpreadMs} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
+import {recordZones} from '../shares/record-zones.js';
 import {applyEntries} from './apply-entries.js';
 import {type VersionedEntry} from './catalogue-state.js';
 import {reconcileStore} from './reconcile-store.js';
@@ -12,11 +13,12 @@
  * @param node - the node, updated in place
  * @param entries - the changed entries
  * @param revision - revision of the catalogue that they lead to
+ * @param at - now, in milliseconds
  * @returns the reports
  * @example
- * const effects = acceptEntries(node, message.entries, message.revision);
+ * const effects = acceptEntries(node, message.entries, message.revision, at);
  */
-export function acceptEntries(node: Node, entries: readonly VersionedEntry[], revision: number): Effect[] {
+export function acceptEntries(node: Node, entries: readonly VersionedEntry[], revision: number, at: number): Effect[] {
 	const {catalogue} = node;
 	if (revision <= catalogue.accepted.revision || revision <= catalogue.invalidRevision) {
 		return [];
@@ -31,6 +33,7 @@
 	catalogue.accepted = applied.accepted;
 	if (applied.snapshot.revision > node.snapshot.revision) {
 		node.snapshot = applied.snapshot;
+		recordZones(node, at);
 	}
 
 	if (catalogue.higher !== undefined && catalogue.higher.revision <= revision) {
@@ -64,7 +67,7 @@
 		found = reconcileStore(accepted, view, prefix);
 	}
 
-	const effects = found.headRevision > accepted.revision ? acceptEntries(node, found.newer, found.headRevision) : [];
+	const effects = found.headRevision > accepted.revision ? acceptEntries(node, found.newer, found.headRevision, at) : [];
 	const needed = found.lost.length > 0 || found.direct.length > 0 || found.headRevision < accepted.revision;
 	if (needed) {
 		const spread = Math.min(correctionSpreadLimitMs, correctionSpreadMs * node.membership.records.size);
--- a/packages/core/src/membership/receive-message.ts
+++ b/packages/core/src/membership/receive-message.ts
@@ -47,14 +47,14 @@
 			},
 		}];
 	},
-	'catalogue-response'(node, message) {
+	'catalogue-response'(node, message, at) {
 		const {catalogue} = node;
 		if (catalogue.accepted.revision < message.since || catalogue.prefix === undefined) {
 			return [];
 		}
 
 		const before = catalogue.accepted.revision;
-		const effects = acceptEntries(node, message.entries, message.revision);
+		const effects = acceptEntries(node, message.entries, message.revision, at);
 		return catalogue.accepted.revision > before ? [{type: 'count', counter: 'catalogue.from-peer'}, ...effects] : effects;
 	},
 };
--- a/packages/core/src/node/effect.ts
+++ b/packages/core/src/node/effect.ts
@@ -3,6 +3,7 @@
  */
 import {type EditResult} from '../catalogue/catalogue-state.js';
 import {type Problem} from '../catalogue/list-problems.js';
+import {type RecordedAnswer} from '../deduplication/deduplication.js';
 import {type Message} from '../membership/message.js';
 import {type Refusal} from '../refusal.js';
 import {type Transaction} from '../store/transaction.js';
@@ -20,8 +21,11 @@
 	| {readonly type: 'store-unavailable' | 'store-available' | 'member-registered' | 'member-lease-lost'};
 
 export type Effect =
-	/** Sends the task's request to a worker; ends with `attempt-finished`. */
-	| {readonly type: 'start-attempt'; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly address: string; readonly timeoutMs: number; readonly resumes?: string}
+	/** Sends the task's request to a worker; ends with `attempt-finished`, with the answer when `keepAnswer` is set. */
+	| {
+		readonly type: 'start-attempt'; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly address: string;
+		readonly timeoutMs: number; readonly keepAnswer: boolean; readonly resumes?: string;
+	}
 	| {readonly type: 'cancel-attempt'; readonly attemptId: string; readonly workerId: string}
 	/** Slows a bulk attempt down; it occupies no slot for the duration. */
 	| {readonly type: 'throttle-attempt'; readonly attemptId: string; readonly workerId: string; readonly durationMs: number}
@@ -29,6 +33,8 @@
 	| {readonly type: 'checkpoint-attempt'; readonly attemptId: string; readonly workerId: string}
 	/** Returns the answer of an attempt to the caller. */
 	| {readonly type: 'answer'; readonly taskId: string; readonly attemptId: string}
+	/** Returns the answer of an earlier request with the same idempotency key. */
+	| {readonly type: 'answer-recorded'; readonly taskId: string; readonly answer: RecordedAnswer}
 	| {readonly type: 'refuse'; readonly taskId: string; readonly refusal: Refusal}
 	/** Ends with `store-transacted` for the same purpose and identifier. */
 	| {readonly type: 'store-transact'; readonly purpose: Purpose; readonly id: string; readonly transaction: Transaction}
@@ -46,7 +52,8 @@
 	| {readonly type: 'report'; readonly report: Report}
 	/** Sends a message to another member; it may be lost, late or duplicated. */
 	| {readonly type: 'peer-send'; readonly to: string; readonly message: Message}
-	| {readonly type: 'count'; readonly counter: Counter}
+	/** `subject` names the worker or job that the count is about. */
+	| {readonly type: 'count'; readonly counter: Counter; readonly subject?: string}
 	/** All tasks have ended after `shutdown-requested`. */
 	| {readonly type: 'shutdown-finished'};
 
--- a/packages/core/src/node/node.ts
+++ b/packages/core/src/node/node.ts
@@ -6,9 +6,11 @@
 import {type CatalogueState} from '../catalogue/catalogue-state.js';
 import {type Snapshot} from '../catalogue/create-snapshot.js';
 import {type WorkClass} from '../catalogue/schema.js';
+import {type Deduplication} from '../deduplication/deduplication.js';
 import {type Limits} from '../limits/limits.js';
 import {type Membership} from '../membership/membership.js';
 import {type Placement} from '../placement/placement.js';
+import {type Retries} from '../retries/retries.js';
 import {type Shares} from '../shares/shares.js';
 
 /** A caller's request while this node is responsible for it. */
@@ -23,12 +25,25 @@
 	readonly fingerprint?: string;
 	readonly arrivedAt: number;
 	readonly deadlineAt: number;
-	state: 'claiming' | 'queued' | 'running';
+	/** `claiming`: waits for its claim. `waiting`: waits for the time of its next attempt. */
+	state: 'claiming' | 'queued' | 'running' | 'waiting';
 	attemptsStarted: number;
 	/** Time that earlier attempts ran before they were checkpointed. */
 	ranMs: number;
 	/** Attempt whose progress is kept at a worker. */
 	resume?: {readonly attemptId: string; readonly workerId: string; readonly notBefore: number};
+	/** Attempts that ended with a checkpoint; the next attempt resumes the same execution. */
+	checkpoints: number;
+	/** Attempts that workers refused before running them. */
+	attemptsUnstarted: number;
+	/** An attempt may have run and not been answered. */
+	mayHaveRun: boolean;
+	/** The store holds its claim. */
+	claimed: boolean;
+	/** The caller has been refused or has gone; the running attempt keeps its slot until it ends. */
+	abandoned: boolean;
+	/** Workers on which an attempt failed. */
+	readonly failedWorkers: string[];
 	attemptId?: string;
 };
 
@@ -46,7 +61,6 @@
 export type Tasks = {
 	readonly byId: Map<string, Task>;
 	readonly attempts: Map<string, Attempt>;
-	nextAttempt: number;
 	shuttingDown: boolean;
 	shutdownReported: boolean;
 };
@@ -70,6 +84,8 @@
 	readonly limits: Limits;
 	readonly shares: Shares;
 	readonly placement: Placement;
+	readonly retries: Retries;
+	readonly deduplication: Deduplication;
 	readonly freshness: Freshness;
 	readonly membership: Membership;
 	readonly catalogue: CatalogueState;
--- a/packages/core/src/node/reduce.ts
+++ b/packages/core/src/node/reduce.ts
@@ -5,6 +5,8 @@
 import {receiveCatalogueReport} from '../catalogue/receive-catalogue-report.js';
 import {startCatalogue} from '../catalogue/start-catalogue.js';
 import {tickCatalogue} from '../catalogue/tick-catalogue.js';
+import {resolveClaims} from '../deduplication/resolve-claims.js';
+import {tickClaims} from '../deduplication/tick-claims.js';
 import {confirmConfiguration} from '../freshness/confirm-configuration.js';
 import {finishRegistration} from '../membership/finish-registration.js';
 import {receiveLease} from '../membership/receive-lease.js';
@@ -18,7 +20,8 @@
 import {recordInstances} from '../placement/record-instances.js';
 import {recordUsage} from '../placement/record-usage.js';
 import {preemptBulk} from '../shares/preempt-bulk.js';
-import {recordZones} from '../shares/record-zones.js';
+import {updateSubsets} from '../placement/update-subsets.js';
+import {releaseRetries} from '../retries/release-retries.js';
 import {admitRequest} from '../tasks/admit-request.js';
 import {beginShutdown} from '../tasks/begin-shutdown.js';
 import {cancelRequest} from '../tasks/cancel-request.js';
@@ -34,6 +37,7 @@
 const transactionHandlers: Partial<Record<Purpose, Handler<'store-transacted'>>> = {
 	catalogue: finishCatalogueTransaction,
 	member: finishRegistration,
+	claim: resolveClaims,
 };
 
 const listingHandlers: Partial<Record<Purpose, Handler<'store-listed'>>> = {
@@ -50,24 +54,29 @@
 	member: receiveLease,
 };
 
+/** The part of the workers that a node sends to depends on the members. */
+function refreshPlacement(node: Node, event: EventOf<'store-listed' | 'store-watched'>): Effect[] {
+	return event.purpose === 'member' ? updateSubsets(node) : [];
+}
+
 /** Handlers of each event, run in order. */
 const handlers: {readonly [Type in Event['type']]: ReadonlyArray<Handler<Type>>} = {
 	'request-arrived': [admitRequest],
 	'request-cancelled': [cancelRequest],
 	'attempt-finished': [finishAttempt],
-	'catalogue-loaded': [loadCatalogue, recordZones],
+	'catalogue-loaded': [loadCatalogue],
 	'configuration-confirmed': [confirmConfiguration],
 	'store-transacted': [(node, event) => transactionHandlers[event.purpose]?.(node, event) ?? []],
-	'store-listed': [(node, event) => listingHandlers[event.purpose]?.(node, event) ?? []],
-	'store-watched': [(node, event) => watchHandlers[event.purpose]?.(node, event) ?? []],
+	'store-listed': [(node, event) => listingHandlers[event.purpose]?.(node, event) ?? [], refreshPlacement],
+	'store-watched': [(node, event) => watchHandlers[event.purpose]?.(node, event) ?? [], refreshPlacement],
 	'store-leased': [(node, event) => leaseHandlers[event.purpose]?.(node, event) ?? []],
 	'process-started': [startCatalogue, startMembership],
 	'edit-requested': [editCatalogue],
 	'instances-listed': [recordInstances],
 	'usage-reported': [recordUsage],
-	'peers-listed': [recordPeers],
+	'peers-listed': [recordPeers, updateSubsets],
 	'peer-received': [receiveMessage],
-	tick: [tickCatalogue, tickMembership, tickTasks, preemptBulk, sendSummary],
+	tick: [tickCatalogue, tickMembership, tickClaims, releaseRetries, tickTasks, preemptBulk, sendSummary],
 	'shutdown-requested': [beginShutdown],
 };
 
--- a/packages/core/src/shares/record-zones.ts
+++ b/packages/core/src/shares/record-zones.ts
@@ -1,5 +1,3 @@
-import {type Effect} from '../node/effect.js';
-import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
 
 /**
@@ -7,20 +5,17 @@
  * is first seen counts as fully returned.
  *
  * @param node - the node, updated in place
- * @param event - the new catalogue
- * @returns no effects
+ * @param at - when the catalogue came into force, in milliseconds
  * @example
- * recordZones(node, {type: 'catalogue-loaded', at: 0, snapshot});
+ * recordZones(node, at);
  */
-export function recordZones(node: Node, event: EventOf<'catalogue-loaded'>): Effect[] {
+export function recordZones(node: Node, at: number): void {
 	for (const [name, {withdrawn}] of Object.entries(node.snapshot.catalogue.zones)) {
 		const known = node.shares.zones.get(name);
 		if (known === undefined) {
 			node.shares.zones.set(name, {withdrawn, changedAt: Number.NEGATIVE_INFINITY});
 		} else if (known.withdrawn !== withdrawn) {
-			node.shares.zones.set(name, {withdrawn, changedAt: event.at});
+			node.shares.zones.set(name, {withdrawn, changedAt: at});
 		}
 	}
-
-	return [];
 }
--- a/packages/core/src/tasks/dispatch-pool.ts
+++ b/packages/core/src/tasks/dispatch-pool.ts
@@ -1,3 +1,4 @@
+import {abandonedAttemptMs, tickIntervalMs} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node, type Task} from '../node/node.js';
 import {isFresh} from '../freshness/is-fresh.js';
@@ -8,10 +9,12 @@
 import {findResumeWorker} from '../shares/find-resume-worker.js';
 import {nextTask} from '../shares/next-task.js';
 import {removeTask} from '../shares/remove-task.js';
+import {endTask} from './end-task.js';
 
 function startAttempt(node: Node, task: Task, worker: Worker, at: number): Effect[] {
-	const attemptId = `${node.id}-${node.tasks.nextAttempt}`;
-	node.tasks.nextAttempt += 1;
+	// Checkpoints do not count as attempts started, but each attempt needs an identifier of its own.
+	const attemptId = `${node.id}-${task.id}-${task.attemptsStarted + task.checkpoints + 1}`;
+	const graceMs = task.repeatable ? 2 * tickIntervalMs : abandonedAttemptMs;
 	const resumes = task.resume?.workerId === worker.instance.id ? task.resume.attemptId : undefined;
 	removeTask(node, task);
 	countStart(node, task, at);
@@ -30,7 +33,14 @@
 		id: attemptId, taskId: task.id, workerId: worker.instance.id, startedAt: at,
 	});
 	effects.push({
-		type: 'start-attempt', taskId: task.id, attemptId, workerId: worker.instance.id, address: worker.instance.address, timeoutMs: task.deadlineAt - at, ...(resumes !== undefined && {resumes}),
+		type: 'start-attempt',
+		taskId: task.id,
+		attemptId,
+		workerId: worker.instance.id,
+		address: worker.instance.address,
+		timeoutMs: task.deadlineAt - at + graceMs,
+		keepAnswer: task.idempotencyKey !== undefined,
+		...(resumes !== undefined && {resumes}),
 	});
 	return effects;
 }
@@ -57,7 +67,12 @@
 			return effects;
 		}
 
-		const worker = findResumeWorker(node, task, at) ?? chooseWorker(node, pool);
+		if (task.deadlineAt <= at) {
+			effects.push(...endTask(node, task, {type: 'refused', reason: 'deadline-exceeded'}, at));
+			continue;
+		}
+
+		const worker = findResumeWorker(node, task, at) ?? chooseWorker(node, task, at);
 		if (worker === undefined) {
 			return effects;
 		}
--- a/packages/core/src/tasks/finish-attempt.ts
+++ b/packages/core/src/tasks/finish-attempt.ts
@@ -1,67 +1,98 @@
+import {maximumAttempts, maximumUnstartedAttempts} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type AttemptOutcome, type EventOf} from '../node/event.js';
-import {type Attempt, type Node, type Task} from '../node/node.js';
-import {enqueueTask} from '../shares/enqueue-task.js';
+import {type Node, type Task} from '../node/node.js';
+import {recordOutcome} from '../placement/record-outcome.js';
+import {recordRefusal} from '../placement/record-refusal.js';
 import {recordRun} from '../shares/record-run.js';
+import {earnRetry} from '../retries/earn-retry.js';
+import {forgetFailures} from '../retries/forget-failures.js';
+import {recordFailure} from '../retries/record-failure.js';
 import {dispatchPool} from './dispatch-pool.js';
 import {endAttempt} from './end-attempt.js';
-import {refuseTask} from './refuse-task.js';
+import {endTask, type TaskEnding} from './end-task.js';
+import {queueTask} from './queue-task.js';
+import {retryTask} from './retry-task.js';
 
-const maximumAttempts = 3;
+type Ended = {readonly task: Task; readonly workerId: string; readonly attemptId: string; readonly at: number};
 
-function requeue(node: Node, task: Task): boolean {
-	return task.attemptsStarted < maximumAttempts && enqueueTask(node, task);
-}
+type OutcomeHandler<Type extends AttemptOutcome['type']> = (node: Node, ended: Ended, outcome: Extract<AttemptOutcome, {type: Type}>) => Effect[];
+
+/** Refusals that correct this node's view of a worker; the corrected view keeps them rare, so they take no retry from the budget. */
+const corrections = new Set<string>(['slots-full', 'leaving', 'lease-lapsed']);
 
-type OutcomeHandler<Type extends AttemptOutcome['type']> = (node: Node, task: Task, outcome: Extract<AttemptOutcome, {type: Type}>, attempt: Attempt) => Effect[];
+function finishFailed(node: Node, ended: Ended, options: {ending: TaskEnding; counter: 'retry.failed' | 'retry.lost'}): Effect[] {
+	const {task, workerId, at} = ended;
+	const {ending, counter} = options;
+	task.mayHaveRun = true;
+	task.failedWorkers.push(workerId);
+	const counts: Effect[] = recordFailure(node, task, workerId, at) ? [{type: 'count', counter: 'job.parked', subject: `${task.queue}/${task.fingerprint ?? ''}`}] : [];
+	if (at >= task.deadlineAt) {
+		return [...counts, ...endTask(node, task, {type: 'refused', reason: 'deadline-exceeded-running'}, at)];
+	}
+
+	const repeat = task.repeatable && task.attemptsStarted - task.attemptsUnstarted < maximumAttempts;
+	return [...counts, ...(repeat ? retryTask(node, task, {ending, counter, budgeted: true}, at) : endTask(node, task, ending, at))];
+}
 
 const outcomeHandlers: {[Type in AttemptOutcome['type']]: OutcomeHandler<Type>} = {
-	succeeded(_node, task, _outcome, {id: attemptId}) {
-		return [{type: 'count', counter: 'request.answered'}, {type: 'answer', taskId: task.id, attemptId}];
+	succeeded(node, {task, attemptId, at}, {answer}) {
+		earnRetry(node);
+		forgetFailures(node, task);
+		return endTask(node, task, {type: 'answered', attemptId, ...(answer !== undefined && {answer})}, at);
 	},
-	checkpointed(node, task, _outcome, attempt) {
+	checkpointed(node, {task, workerId, attemptId, at}) {
 		// The next attempt resumes the same execution, so that it is not a further try.
 		task.attemptsStarted -= 1;
-		task.resume = {attemptId: attempt.id, workerId: attempt.workerId, notBefore: 0};
-		enqueueTask(node, task);
-		return [{type: 'count', counter: 'task.checkpointed'}];
+		task.checkpoints += 1;
+		task.mayHaveRun = true;
+		task.resume = {attemptId, workerId, notBefore: 0};
+		const effects = task.abandoned ? endTask(node, task, {type: 'caller-gone'}, at) : queueTask(node, task, at);
+		return [{type: 'count', counter: 'task.checkpointed'}, ...effects];
 	},
-	'not-started'(node, task, outcome) {
-		if (outcome.cause === 'slots-full') {
-			// Nothing has run, and a full pool would otherwise use up the tries of a waiting task.
+	'not-started'(node, ended, {cause}) {
+		const {task, workerId, at} = ended;
+		if (task.resume !== undefined && cause === 'slots-full') {
+			// Only this worker has the progress, so that waiting for one of its slots uses up no tries.
 			task.attemptsStarted -= 1;
+			task.checkpoints += 1;
+			return [{type: 'count', counter: 'retry.not-started'}, ...queueTask(node, task, at)];
 		}
 
-		if (outcome.cause === 'checkpoint-unknown') {
+		if (cause === 'checkpoint-unknown') {
+			const ending: TaskEnding = {type: 'refused', reason: 'worker-lost'};
 			delete task.resume;
-			return task.repeatable && requeue(node, task) ? [{type: 'count', counter: 'task.restarted'}] : [refuseTask(task.id, 'worker-lost')];
+			return task.repeatable ? retryTask(node, task, {ending, counter: 'task.restarted', budgeted: true}, at) : endTask(node, task, ending, at);
 		}
 
-		if (requeue(node, task)) {
-			return [{type: 'count', counter: 'retry.not-started'}];
+		if (cause === 'duplicate') {
+			// The worker has seen this attempt before: an earlier copy of it may be running.
+			return finishFailed(node, ended, {ending: {type: 'refused', reason: 'worker-lost'}, counter: 'retry.lost'});
 		}
 
-		// A checkpointed task has run in part, so that "not run" would be untrue.
-		return [refuseTask(task.id, 'no-worker-available', task.resume === undefined ? {} : {execution: 'outcome unknown'})];
-	},
-	failed(node, task, outcome) {
-		if (task.repeatable && requeue(node, task)) {
-			return [{type: 'count', counter: 'retry.failed'}];
+		task.attemptsUnstarted += 1;
+		const counts = recordRefusal(node, workerId, cause, at);
+		if (cause === 'slots-full') {
+			// The full worker is passed over for a while; when all are, the task waits in its queue with its place by fairness.
+			return [...counts, {type: 'count', counter: 'retry.not-started'}, ...queueTask(node, task, at)];
 		}
 
-		return [refuseTask(task.id, 'worker-failed', {detail: `The worker answered with status ${outcome.status}`})];
+		const ending: TaskEnding = {type: 'refused', reason: 'no-worker-available'};
+		return [...counts, ...(task.attemptsUnstarted >= maximumUnstartedAttempts
+			? endTask(node, task, ending, at)
+			: retryTask(node, task, {ending, counter: 'retry.not-started', budgeted: !corrections.has(cause)}, at))];
 	},
-	lost(node, task) {
-		if (task.repeatable && requeue(node, task)) {
-			return [{type: 'count', counter: 'retry.lost'}];
-		}
-
-		return [refuseTask(task.id, 'worker-lost')];
+	failed: (node, ended, {status}) => finishFailed(node, ended, {
+		ending: {type: 'refused', reason: 'worker-failed', detail: `The worker answered with status ${status}`}, counter: 'retry.failed',
+	}),
+	lost(node, ended, {cause}) {
+		const counts: Effect[] = cause === 'answer-mismatched' ? [{type: 'count', counter: 'attempt.mismatched-answer'}] : [];
+		return [...counts, ...finishFailed(node, ended, {ending: {type: 'refused', reason: 'worker-lost'}, counter: 'retry.lost'})];
 	},
 };
 
 /**
- * Ends an attempt: answers the caller, queues the task again or refuses it.
+ * Ends an attempt: answers the caller, schedules a retry or refuses the request.
  *
  * @param node - the node, updated in place
  * @param event - how the attempt ended; an attempt that has already ended is counted and ignored
@@ -70,18 +101,18 @@
  * finishAttempt(node, {type: 'attempt-finished', at: 5, attemptId: 'a-1', outcome: {type: 'succeeded'}});
  */
 export function finishAttempt(node: Node, event: EventOf<'attempt-finished'>): Effect[] {
-	const ended = endAttempt(node, event.attemptId);
+	const {attemptId, outcome, at} = event;
+	const ended = endAttempt(node, attemptId);
 	if (ended === undefined) {
 		return [{type: 'count', counter: 'attempt.stale-answer'}];
 	}
 
-	const {task, attempt} = ended;
+	const {task, attempt: {workerId}} = ended;
 	recordRun(node, ended, event);
-	const handler = outcomeHandlers[event.outcome.type] as OutcomeHandler<AttemptOutcome['type']>;
-	const effects = handler(node, task, event.outcome, attempt);
-	if (task.state === 'running') {
-		node.tasks.byId.delete(task.id);
-	}
-
-	return [...effects, ...dispatchPool(node, task.pool, event.at)];
+	const counts = recordOutcome(node, workerId, outcome, at);
+	const handler = outcomeHandlers[outcome.type] as OutcomeHandler<AttemptOutcome['type']>;
+	const effects = handler(node, {
+		task, workerId, attemptId, at,
+	}, outcome);
+	return [...counts, ...effects, ...dispatchPool(node, task.pool, at)];
 }
--- a/packages/core/src/tasks/tick-tasks.ts
+++ b/packages/core/src/tasks/tick-tasks.ts
@@ -1,25 +1,43 @@
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
-import {type Node} from '../node/node.js';
-import {removeTask} from '../shares/remove-task.js';
+import {type Node, type Task} from '../node/node.js';
 import {dispatchPool} from './dispatch-pool.js';
+import {endAttempt} from './end-attempt.js';
+import {endTask} from './end-task.js';
 import {refuseTask} from './refuse-task.js';
 
+/** The caller is answered; the attempt is cancelled if it may be repeated and otherwise keeps its slot until it ends. */
+function expireRunning(node: Node, task: Task, at: number): Effect[] {
+	task.mayHaveRun = true;
+	if (!task.repeatable) {
+		task.abandoned = true;
+		return [refuseTask(task.id, 'deadline-exceeded-running')];
+	}
+
+	const ended = endAttempt(node, task.attemptId ?? '');
+	const cancels: Effect[] = ended === undefined ? [] : [{type: 'cancel-attempt', attemptId: ended.attempt.id, workerId: ended.attempt.workerId}];
+	return [...cancels, ...endTask(node, task, {type: 'refused', reason: 'deadline-exceeded-running'}, at)];
+}
+
 function expireTasks(node: Node, at: number): Effect[] {
 	const effects: Effect[] = [];
 	for (const task of node.tasks.byId.values()) {
-		if (task.state === 'queued' && task.deadlineAt <= at) {
-			removeTask(node, task);
-			node.tasks.byId.delete(task.id);
-			effects.push(refuseTask(task.id, task.resume === undefined ? 'deadline-exceeded' : 'deadline-exceeded-running'));
+		if (task.deadlineAt <= at && !task.abandoned) {
+			effects.push(...(task.state === 'running' ? expireRunning(node, task, at) : endTask(node, task, {type: 'refused', reason: 'deadline-exceeded'}, at)));
 		}
 	}
 
 	return effects;
 }
 
+/** Endings that are not written would answer "outcome unknown"; while the store is unavailable they are given up. */
+function areClaimsWritten(node: Node, at: number): boolean {
+	const {pending, batch, retryAt} = node.deduplication;
+	return retryAt > at || (pending.size === 0 && batch === undefined);
+}
+
 /**
- * Refuses waiting tasks past their deadline, starts what can start, and reports the end of a shutdown.
+ * Refuses tasks past their deadline, starts what can start, and reports the end of a shutdown.
  *
  * @param node - the node, updated in place
  * @param event - the tick
@@ -33,7 +51,7 @@
 		effects.push(...dispatchPool(node, pool, event.at));
 	}
 
-	if (node.tasks.shuttingDown && !node.tasks.shutdownReported && node.tasks.byId.size === 0) {
+	if (node.tasks.shuttingDown && !node.tasks.shutdownReported && node.tasks.byId.size === 0 && areClaimsWritten(node, event.at)) {
 		node.tasks.shutdownReported = true;
 		effects.push({type: 'shutdown-finished'});
 	}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,7 +5,7 @@
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {LRUCache} from 'lru-cache';
-import {taskLeaseTtlMs, tickIntervalMs} from '@rosemaryquay/core/constants';
+import {taskLeaseTtlMs, tickIntervalMs, usageReadIntervalMs} from '@rosemaryquay/core/constants';
 import {createNode} from '@rosemaryquay/core/node/create-node';
 import {type Effect} from '@rosemaryquay/core/node/effect';
 import {type Event} from '@rosemaryquay/core/node/event';
@@ -30,6 +30,7 @@
 import {type OperatorRoute} from './operator/operator-request.js';
 import {mountRoutes} from './operator/mount-routes.js';
 import {performEffect} from './perform-effect.js';
+import {UsageReader} from './usage-reader.js';
 import {WorkerClient} from './worker-client.js';
 
 /** Requests that `rosemaryquay explain` can tell about. */
@@ -62,6 +63,7 @@
 	readonly #server: Server;
 	readonly #instanceList: InstanceList;
 	readonly #catalogueReader: CatalogueReader;
+	readonly #usageReader: UsageReader;
 	readonly #abort = new AbortController();
 	#finishShutdown: (() => void) | undefined;
 
@@ -73,12 +75,15 @@
 		// A restarted process never claims the portions or leases of its predecessor.
 		this.#incarnation = Date.now();
 		this.#member = `${settings.instance}-${this.#incarnation.toString(36)}`;
-		this.#node = createNode({id: this.#member, zone: settings.zone, seed: Date.now() % 0x7F_FF_FF_FF});
+		this.#node = createNode({
+			id: this.#member, zone: settings.zone, seed: this.#incarnation % 0x7F_FF_FF_FF, prefix: settings.store.prefix, clockOriginMs: performance.timeOrigin,
+		});
 		this.#host = this.#createHost();
 		this.#instanceList = new InstanceList({url: settings.instanceList.url});
 		this.#trace = settings.log.trace ? createTrace(logger) : undefined;
 		this.#catalogueReader = new CatalogueReader({node: this.#node, now: () => this.#host.now()});
 		this.#peers = this.#createPeerHub();
+		this.#usageReader = new UsageReader({host: this.#host, node: this.#node});
 		const router = createRouter(this.#host, this.#node);
 		mountRoutes(router, {
 			routes: this.#listRoutes(),
@@ -115,6 +120,7 @@
 		});
 		void this.#repeat(this.#settings.instanceList.intervalMs, async () => this.#refreshInstances());
 		void this.#repeat(taskLeaseTtlMs / renewalsPerLease, async () => this.#renewLeases());
+		void this.#repeat(usageReadIntervalMs, async () => this.#usageReader.readRound());
 		this.#logger.log('process-started', {url: this.url, zone: this.#settings.zone});
 	}
 
--- a/packages/daemon/src/http/read-request.ts
+++ b/packages/daemon/src/http/read-request.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
+import {hash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
 import {LRUCache} from 'lru-cache';
 import {type Arrival} from '@rosemaryquay/core/node/event';
@@ -11,6 +11,9 @@
 	| {readonly ok: false; readonly reason: Reason; readonly detail: string};
 
 const maximumIdempotencyKeyLength = 255;
+/** Longer bodies without an idempotency key are not hashed; jobs with them are not recognised as failing everywhere. */
+const maximumFingerprintedBytes = 65_536;
+
 const bearerPattern = /^bearer (?<key>[\w\-.~+/]{16,200}=*)$/i;
 const emptyBody = new Uint8Array();
 
@@ -18,13 +21,13 @@
 const hashes = new LRUCache<string, string>({max: 1000});
 
 function hashKey(key: string): string {
-	let hash = hashes.get(key);
-	if (hash === undefined) {
-		hash = createHash('sha256').update(key).digest('hex');
-		hashes.set(key, hash);
+	let keyHash = hashes.get(key);
+	if (keyHash === undefined) {
+		keyHash = hash('sha256', key);
+		hashes.set(key, keyHash);
 	}
 
-	return hash;
+	return keyHash;
 }
 
 async function readBody(request: IncomingMessage, limit: number): Promise<Uint8Array | 'too-large' | 'incomplete'> {
@@ -114,7 +117,8 @@
 			bodyBytes: body.length,
 			...(key !== undefined && {keyHash: hashKey(key)}),
 			...(deadlineMs !== undefined && {deadlineMs}),
-			...(idempotencyKey !== undefined && {idempotencyKey, fingerprint: createHash('sha256').update(queue).update('\0').update(body).digest('hex')}),
+			...(idempotencyKey !== undefined && {idempotencyKey}),
+			...((idempotencyKey !== undefined || body.length <= maximumFingerprintedBytes) && {fingerprint: hash('sha256', body)}),
 		},
 	};
 }
--- a/packages/daemon/src/perform-effect.ts
+++ b/packages/daemon/src/perform-effect.ts
@@ -1,5 +1,8 @@
+import {type Counter} from '@rosemaryquay/core/node/counters';
 import {type Effect, type EffectOf} from '@rosemaryquay/core/node/effect';
 import {type Host} from './host.js';
+import {type LogEvent} from './log-events.js';
+import {answerRecorded} from './performers/answer-recorded.js';
 import {answerRequest} from './performers/answer-request.js';
 import {cancelAttempt} from './performers/cancel-attempt.js';
 import {callLease} from './performers/call-lease.js';
@@ -13,12 +16,22 @@
 
 type Performer<Type extends Effect['type']> = (host: Host, effect: EffectOf<Type>) => void | Promise<void>;
 
+/** Counters whose every increment is also logged. */
+const loggedCounters: ReadonlyMap<Counter, LogEvent> = new Map([
+	['worker.ejected', 'worker-ejected'],
+	['worker.returned', 'worker-returned'],
+	['worker.leaving', 'worker-leaving'],
+	['job.parked', 'job-parked'],
+	['attempt.mismatched-answer', 'answer-mismatched'],
+]);
+
 const performers: {readonly [Type in Effect['type']]: Performer<Type>} = {
 	'start-attempt': startAttempt,
 	'cancel-attempt': cancelAttempt,
 	'throttle-attempt': throttleAttempt,
 	'checkpoint-attempt': checkpointAttempt,
 	answer: answerRequest,
+	'answer-recorded': answerRecorded,
 	refuse: refuseRequest,
 	'store-transact': transactStore,
 	'store-list': listStore,
@@ -38,6 +51,10 @@
 	},
 	count(host, effect) {
 		host.metrics.count(effect.counter);
+		const logged = loggedCounters.get(effect.counter);
+		if (logged !== undefined) {
+			host.logger.log(logged, {subject: effect.subject});
+		}
 	},
 	'shutdown-finished'(host) {
 		host.shutdownFinished();
--- a/packages/testing/src/worker-server.ts
+++ b/packages/testing/src/worker-server.ts
@@ -14,6 +14,8 @@
 	loseAnswers: boolean;
 	/** Answers are cut short. */
 	truncateAnswers: boolean;
+	/** Answers carry the identifier of another attempt. */
+	swapAnswers: boolean;
 	/** New tasks are refused because the worker is leaving. */
 	leaving: boolean;
 };
@@ -27,7 +29,6 @@
 
 type RunningTask = {
 	readonly holder: string;
-	expiresAt: number;
 	readonly abort: AbortController;
 	remainingMs: number;
 	throttledUntil: number;
@@ -35,7 +36,7 @@
 };
 
 /** Progress of a checkpointed task, dropped when its holder's lease lapses. */
-type Checkpoint = {readonly holder: string; expiresAt: number; readonly remainingMs: number};
+type Checkpoint = {readonly holder: string; readonly remainingMs: number};
 
 const throttledSpeed = 0.25;
 
@@ -46,7 +47,7 @@
 
 export class WorkerServer {
 	readonly faults: WorkerFaults = {
-		failAll: false, loseAnswers: false, truncateAnswers: false, leaving: false,
+		failAll: false, loseAnswers: false, truncateAnswers: false, swapAnswers: false, leaving: false,
 	};
 
 	/** Identifiers of all attempts that ran, in order. */
@@ -56,6 +57,8 @@
 	readonly #seen = new Set<string>();
 	readonly #running = new Map<string, RunningTask>();
 	readonly #checkpoints = new Map<string, Checkpoint>();
+	/** End of the lease of each holder; a lapsed holder starts nothing until it renews. */
+	readonly #leases = new Map<string, number>();
 	#server: ListeningServer | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
@@ -133,7 +136,11 @@
 		return occupied;
 	}
 
-	#refusalOf(attempt: string, resumes: string): string | undefined {
+	#refusalOf(attempt: string, holder: string, resumes: string): string | undefined {
+		if ((this.#leases.get(holder) ?? Number.POSITIVE_INFINITY) <= performance.now()) {
+			return 'lease-lapsed';
+		}
+
 		if (this.#seen.has(attempt)) {
 			return 'duplicate';
 		}
@@ -151,22 +158,23 @@
 
 	async #run(request: IncomingMessage, body: Uint8Array, response: ServerResponse): Promise<void> {
 		const attempt = String(request.headers[attemptHeader]);
+		const holder = String(request.headers[holderHeader]);
 		const resumes = String(request.headers[resumeHeader] ?? '');
-		const refusal = this.#refusalOf(attempt, resumes);
+		const refusal = this.#refusalOf(attempt, holder, resumes);
 		if (refusal !== undefined) {
 			response.writeHead(503, {'rosemaryquay-not-run': refusal}).end();
 			return;
 		}
 
 		const task: RunningTask = {
-			holder: String(request.headers[holderHeader]),
-			expiresAt: performance.now() + Number(request.headers[leaseHeader]),
+			holder,
 			abort: new AbortController(),
 			remainingMs: this.#checkpoints.get(resumes)?.remainingMs ?? this.#serviceTimeMs,
 			throttledUntil: 0,
 			checkpointed: false,
 		};
 		this.#checkpoints.delete(resumes);
+		this.#renew(holder, Number(request.headers[leaseHeader]));
 		this.#seen.add(attempt);
 		this.started.push(attempt);
 		this.#running.set(attempt, task);
@@ -177,8 +185,8 @@
 		}
 
 		if (task.checkpointed) {
-			const {holder, expiresAt, remainingMs} = task;
-			this.#checkpoints.set(attempt, {holder, expiresAt, remainingMs});
+			const {remainingMs} = task;
+			this.#checkpoints.set(attempt, {holder, remainingMs});
 			response.writeHead(202, {[attemptHeader]: attempt, 'rosemaryquay-checkpointed': 'yes'}).end();
 			return;
 		}
@@ -203,7 +211,7 @@
 	}
 
 	#answer(request: IncomingMessage, body: Uint8Array, response: ServerResponse): void {
-		const attempt = String(request.headers[attemptHeader]);
+		const attempt = this.faults.swapAnswers ? 'another-attempt' : String(request.headers[attemptHeader]);
 		if (this.faults.loseAnswers) {
 			response.destroy();
 			return;
@@ -229,23 +237,19 @@
 	}
 
 	#renew(holder: string, ttlMs: number): void {
-		for (const task of [...this.#running.values(), ...this.#checkpoints.values()]) {
-			if (task.holder === holder) {
-				task.expiresAt = performance.now() + ttlMs;
-			}
-		}
+		this.#leases.set(holder, performance.now() + ttlMs);
 	}
 
 	#expireLeases(): void {
 		const now = performance.now();
 		for (const task of this.#running.values()) {
-			if (task.expiresAt <= now) {
+			if ((this.#leases.get(task.holder) ?? 0) <= now) {
 				task.abort.abort();
 			}
 		}
 
 		for (const [attempt, checkpoint] of this.#checkpoints) {
-			if (checkpoint.expiresAt <= now) {
+			if ((this.#leases.get(checkpoint.holder) ?? 0) <= now) {
 				this.#checkpoints.delete(attempt);
 			}
 		}
