Add the fleet records, the planner and the maintenance experiment

The planner is a reducer of its own (reducePlanner); transitions are one transaction of the instance records, the budget records of their pool and the fencing comparison. Plans choose the concurrency and loans of each pool by weights and pack whole racks into waves.

--- /dev/null
+++ b/packages/core/src/maintenance/apply-entry.ts
@@ -0,0 +1,89 @@
+import {type Entry} from '../store/transaction.js';
+import {type Planner, type PlannerEffect} from './planner.js';
+import {setInstance} from './set-instance.js';
+import {
+	budgetRecordSchema, instanceRecordSchema, planRecordSchema, type Versioned,
+} from './records.js';
+
+function parse(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
+function isOlder(known: Versioned<unknown> | undefined, revision: number): boolean {
+	return known !== undefined && known.revision >= revision;
+}
+
+/**
+ * Takes over a record as the store has it. A revision at or below the known one is ignored, because
+ * answers and watched changes can arrive in any order.
+ *
+ * @param planner - the planner, updated in place
+ * @param key - key in the store
+ * @param entry - the value with its revision; `undefined` when the key is absent
+ * @returns a report when the record is invalid; the last valid one stays in use
+ * @example
+ * applyEntry(planner, 'rosemaryquay/fleet/plan', {value, modRevision: 7});
+ */
+export function applyEntry(planner: Planner, key: string, entry: Pick<Entry, 'value' | 'modRevision'> | undefined): PlannerEffect[] {
+	const [kind = '', name = ''] = key.slice(`${planner.prefix}fleet/`.length).split('/', 2);
+	if (entry === undefined) {
+		switch (kind) {
+			case 'instances': {
+				setInstance(planner, name, undefined);
+
+				break;
+			}
+
+			case 'budgets': {
+				planner.budgets.delete(name);
+
+				break;
+			}
+
+			case 'plan': {
+				planner.plan = undefined;
+
+				break;
+			}
+		// No default
+		}
+
+		return [];
+	}
+
+	const value = parse(entry.value);
+	const revision = entry.modRevision;
+	const invalid: PlannerEffect[] = [{type: 'report', report: 'record-invalid', subject: key}];
+	if (kind === 'instances') {
+		const parsed = instanceRecordSchema.safeParse(value);
+		if (parsed.success && !isOlder(planner.instances.get(name), revision)) {
+			setInstance(planner, name, {value: parsed.data, revision});
+		}
+
+		return parsed.success ? [] : invalid;
+	}
+
+	if (kind === 'budgets') {
+		const parsed = budgetRecordSchema.safeParse(value);
+		if (parsed.success && !isOlder(planner.budgets.get(name), revision)) {
+			planner.budgets.set(name, {value: parsed.data, revision});
+		}
+
+		return parsed.success ? [] : invalid;
+	}
+
+	if (kind === 'plan') {
+		const parsed = planRecordSchema.safeParse(value);
+		if (parsed.success && !isOlder(planner.plan, revision)) {
+			planner.plan = {value: parsed.data, revision};
+		}
+
+		return parsed.success ? [] : invalid;
+	}
+
+	return [];
+}
--- /dev/null
+++ b/packages/core/src/maintenance/create-planner.ts
@@ -0,0 +1,48 @@
+import {type Planner, type PlannerSettings} from './planner.js';
+
+const defaults: PlannerSettings = {
+	leaseTtlMs: 10_000,
+	listLimitMs: 30_000,
+	drainMs: 600_000,
+	rebootMs: 900_000,
+	stepMs: 1_200_000,
+	pollMs: 10_000,
+	maximumReboots: 3,
+	retireMs: 1_800_000,
+};
+
+/**
+ * Creates a planner that holds no lease and knows no record.
+ *
+ * @param options - identifier of the process start, key prefix in the store, and settings
+ * @returns the planner
+ * @example
+ * const planner = createPlanner({id: 'entry-1-4711', prefix: 'rosemaryquay/'});
+ */
+export function createPlanner(options: {id: string; prefix: string; settings?: Partial<PlannerSettings>}): Planner {
+	const {id, prefix, settings = {}} = options;
+	return {
+		id,
+		prefix,
+		settings: {...defaults, ...settings},
+		lease: {type: 'none', retryAt: Number.NEGATIVE_INFINITY},
+		pools: new Map(),
+		withdrawn: new Set(),
+		listedAt: Number.NEGATIVE_INFINITY,
+		listed: new Map(),
+		missingSince: new Map(),
+		down: new Set(),
+		returnedAt: new Map(),
+		arrivals: [],
+		instances: new Map(),
+		unsettled: new Set(),
+		progress: {planId: '', firstWave: new Map()},
+		budgets: new Map(),
+		plan: undefined,
+		actions: new Map(),
+		pending: new Map(),
+		loadSentAt: Number.NEGATIVE_INFINITY,
+		utcOffsetMs: 0,
+		sequence: 0,
+	};
+}
--- /dev/null
+++ b/packages/core/src/maintenance/is-peak.ts
@@ -0,0 +1,19 @@
+import {type PoolRules} from './planner.js';
+
+const millisecondsPerHour = 3_600_000;
+const hoursPerDay = 24;
+
+/**
+ * Tells whether a moment is in a pool's peak hours. A range whose end is at or before its start
+ * passes midnight.
+ *
+ * @param rules - the pool's rules
+ * @param utcMs - the moment, UTC milliseconds
+ * @returns whether planned maintenance stays away from the pool
+ * @example
+ * isPeak({services: [], unavailable: 1, peakHours: [{from: 6, to: 9}]}, Date.UTC(2026, 0, 1, 7)); // true
+ */
+export function isPeak(rules: PoolRules, utcMs: number): boolean {
+	const hour = Math.floor(utcMs / millisecondsPerHour) % hoursPerDay;
+	return rules.peakHours.some(({from, to}) => (from < to ? hour >= from && hour < to : hour >= from || hour < to));
+}
--- /dev/null
+++ b/packages/core/src/maintenance/load-records.ts
@@ -0,0 +1,24 @@
+import {applyEntry} from './apply-entry.js';
+import {markDown} from './mark-down.js';
+import {type Planner, type PlannerEffect, type PlannerEventOf} from './planner.js';
+
+/**
+ * Takes over all records after the lease was acquired. A failed listing is asked for again by a later tick.
+ *
+ * @param planner - the planner, updated in place
+ * @param event - the listing
+ * @returns reports of invalid records
+ * @example
+ * const effects = loadRecords(planner, {type: 'store-listed', at: 5, id: 'load', outcome});
+ */
+export function loadRecords(planner: Planner, event: PlannerEventOf<'store-listed'>): PlannerEffect[] {
+	const {lease} = planner;
+	if (lease.type !== 'held' || !event.outcome.ok) {
+		return [];
+	}
+
+	planner.lease = {...lease, loaded: true};
+	const effects = event.outcome.value.entries.flatMap(entry => applyEntry(planner, entry.key, entry));
+	markDown(planner, event.at);
+	return effects;
+}
