--- a/packages/measure/src/maintenance/roll-out.ts
+++ b/packages/measure/src/maintenance/roll-out.ts
@@ -32,7 +32,7 @@
 	readonly unseenOverruns: number;
 	readonly poolViolations: number;
 	readonly unmaintained: number;
-	readonly storeWritesPerDay: number;
+	readonly storeWrites: number;
 	readonly replaced: number;
 	readonly failed: number;
 	readonly baselines: {readonly single: Method; readonly batch: Method};
@@ -229,7 +229,7 @@
 		id: 'plan-1', utcMs: pump.utcMs, pools: rules, spares, weights, stepMs,
 	});
 	watch.since = plan.createdAt;
-	const callsBefore = pump.storeWrites;
+	const writesBefore = pump.storeWrites;
 	pump.store.put(planKey, JSON.stringify(plan));
 	const counts = scheduleFailures(pump, pools, options);
 	const begunAt = pump.now;
@@ -290,7 +290,7 @@
 		unseenOverruns: pump.unseenOverruns,
 		poolViolations: pump.poolViolations,
 		unmaintained: remaining.size,
-		storeWritesPerDay: (pump.storeWrites - callsBefore) / (hours / 24),
+		storeWrites: pump.storeWrites - writesBefore,
 		...counts,
 		baselines: {single: measureSingle(durations), batch: measureBatch(durations, rules)},
 	};
--- /dev/null
+++ b/packages/platform/src/pool-actions.ts
@@ -0,0 +1,66 @@
+/**
+ * Client of the platform's pool actions. Each is idempotent by (instance, generation); the state of
+ * a generation can be read back after a lost answer.
+ */
+import {Pool} from 'undici';
+import {z} from 'zod';
+import {type ActionName, type ActionState} from '@rosemaryquay/core/maintenance/planner';
+
+const answerSchema = z.object({
+	generation: z.int(),
+	state: z.enum(['running', 'done', 'failed', 'absent', 'superseded']),
+});
+
+/** What an action needs besides the instance. Times are in milliseconds. */
+export type ActionRequest = {
+	readonly generation: number;
+	/** Time that running work has to finish before a drain ends it. */
+	readonly deadlineMs?: number;
+	/** Pool that a move leads to. */
+	readonly target?: string;
+};
+
+/** Each method resolves to a state and never rejects; `unknown` when no valid answer came. */
+export type PoolActions = {
+	perform(instance: string, action: ActionName, request: ActionRequest): Promise<ActionState>;
+	readAction(instance: string, generation: number): Promise<ActionState>;
+	close(): Promise<void>;
+};
+
+const defaultTimeoutMs = 5000;
+
+export class HttpPoolActions implements PoolActions {
+	readonly #pool: Pool;
+	readonly #timeoutMs: number;
+
+	constructor(options: {url: string; timeoutMs?: number; connections?: number}) {
+		const {url, timeoutMs = defaultTimeoutMs, connections = 8} = options;
+		this.#pool = new Pool(url, {connections});
+		this.#timeoutMs = timeoutMs;
+	}
+
+	async perform(instance: string, action: ActionName, request: ActionRequest): Promise<ActionState> {
+		return this.#call('POST', `/instances/${encodeURIComponent(instance)}/actions/${action}`, request.generation, JSON.stringify(request));
+	}
+
+	async readAction(instance: string, generation: number): Promise<ActionState> {
+		return this.#call('GET', `/instances/${encodeURIComponent(instance)}/actions/${generation}`, generation);
+	}
+
+	async close(): Promise<void> {
+		await this.#pool.destroy();
+	}
+
+	async #call(method: 'GET' | 'POST', path: string, generation: number, body?: string): Promise<ActionState> {
+		try {
+			const response = await this.#pool.request({
+				path, method, signal: AbortSignal.timeout(this.#timeoutMs), ...(body !== undefined && {body, headers: {'content-type': 'application/json'}}),
+			});
+			const answer = answerSchema.safeParse(await response.body.json());
+			// An answer for another generation says nothing about this one.
+			return response.statusCode === 200 && answer.success && answer.data.generation === generation ? answer.data.state : 'unknown';
+		} catch {
+			return 'unknown';
+		}
+	}
+}
