Add the operators' fleet handlers and commands

Cause: operators need to see a plan and its cost, apply, pause, resume and abort it, and drain and move single instances (design section 4.9). Each write is conditional on the revision that the operator saw, and a lost answer is read back.

Conclusion: the server side of authentication and the mounting remain with the daemon.

--- /dev/null
+++ b/packages/cli/src/commands/fleet-apply.ts
@@ -0,0 +1,35 @@
+import {readFile} from 'node:fs/promises';
+import {Command, Option} from 'clipanion';
+import {z} from 'zod';
+import {planRecordSchema} from '@rosemaryquay/core/maintenance/records';
+import {FleetCommand} from '../fleet-command.js';
+
+const fileSchema = z.strictObject({plan: planRecordSchema, revision: z.int()});
+
+/** `rosemaryquay apply FILE`: carries a saved plan out. */
+export class FleetApplyCommand extends FleetCommand {
+	static override paths = [['apply']];
+	static override usage = Command.Usage({description: 'Carry out a plan that `plan --out` saved; a dry run without --yes'});
+
+	yes = Option.Boolean('--yes', false, {description: 'Carry it out'});
+	file = Option.String();
+
+	override async execute(): Promise<number> {
+		let document: unknown;
+		try {
+			document = JSON.parse(await readFile(this.file, 'utf8'));
+		} catch (error) {
+			this.context.stderr.write(`${this.file}: ${error instanceof Error ? error.message : 'not readable'}\n`);
+			return 1;
+		}
+
+		const parsed = fileSchema.safeParse(document);
+		if (!parsed.success) {
+			this.context.stderr.write(`${this.file}: not a plan: ${parsed.error.message}\n`);
+			return 1;
+		}
+
+		const answer = await this.call('POST', 'apply', {...parsed.data, dryRun: !this.yes});
+		return this.print(answer, ({revision, pools}) => (this.yes ? `applied at revision ${String(revision)}` : `dry run; --yes carries it out: ${JSON.stringify(pools)}`));
+	}
+}
