--- a/packages/core/src/node/counters.ts
+++ b/packages/core/src/node/counters.ts
@@ -9,6 +9,11 @@
 	'retry.not-started': 'Retries after an attempt that did not start',
 	'retry.failed': 'Retries after a worker reported a failure',
 	'retry.lost': 'Retries after a connection to a worker was lost',
+	'fleet.planner-started': 'Times that this process acquired the planner lease',
+	'fleet.planner-stopped': 'Times that this process lost the planner lease',
+	'fleet.instance-suspect': 'Instances set aside after failed reboots',
+	'fleet.drain-undone': 'Drains undone because the budget was needed',
+	'fleet.record-invalid': 'Invalid fleet records read from the store',
 } as const;
 
 export type Counter = keyof typeof counters;
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -48,6 +48,21 @@
 	'instance-list-unavailable': {
 		number: 304, level: 'warn', text: 'The instance list does not answer', action: 'Check the platform; the last list stays in use.',
 	},
+	'fleet-planner-started': {
+		number: 400, level: 'info', text: 'This process has the planner lease and carries maintenance on', action: 'None.',
+	},
+	'fleet-planner-stopped': {
+		number: 401, level: 'warn', text: 'This process no longer has the planner lease', action: 'None when another process starts planning; otherwise check the store.',
+	},
+	'fleet-instance-suspect': {
+		number: 402, level: 'error', text: 'An instance did not work after its reboots and is set aside', action: 'Replace or repair it; `rosemaryquay drain --undo` returns it to service.',
+	},
+	'fleet-drain-undone': {
+		number: 403, level: 'warn', text: 'A drain was undone because the budget was needed', action: 'Check the pool for failures; the plan takes the instance up again.',
+	},
+	'fleet-record-invalid': {
+		number: 404, level: 'error', text: 'A fleet record in the store is invalid; the last valid one stays in use', action: 'Correct or delete the named key.',
+	},
 } as const satisfies Record<string, {number: number; level: Level; text: string; action: string}>;
 
 export type LogEvent = keyof typeof logEvents;
