--- a/packages/cli/src/create-cli.ts
+++ b/packages/cli/src/create-cli.ts
@@ -2,6 +2,11 @@
 import {AuditCommand} from './commands/audit.js';
 import {CatalogueApplyCommand, CatalogueEditCommand, CatalogueGetCommand} from './commands/catalogue.js';
 import {CheckCommand} from './commands/check.js';
+import {FleetApplyCommand} from './commands/fleet-apply.js';
+import {FleetControlCommand} from './commands/fleet-control.js';
+import {FleetDrainCommand, FleetMoveCommand} from './commands/fleet-instance.js';
+import {FleetPlanCommand} from './commands/fleet-plan.js';
+import {FleetStatusCommand} from './commands/fleet-status.js';
 import {KeysGiveCommand, KeysListCommand, KeysWithdrawCommand} from './commands/keys.js';
 import {ExplainCommand, MembersCommand, SharesCommand} from './commands/state.js';
 import {ZonesChangeCommand, ZonesListCommand} from './commands/zones.js';
@@ -13,6 +18,12 @@
 	CatalogueGetCommand,
 	CheckCommand,
 	ExplainCommand,
+	FleetApplyCommand,
+	FleetControlCommand,
+	FleetDrainCommand,
+	FleetMoveCommand,
+	FleetPlanCommand,
+	FleetStatusCommand,
 	KeysGiveCommand,
 	KeysListCommand,
 	KeysWithdrawCommand,
--- a/packages/core/src/node/counters.ts
+++ b/packages/core/src/node/counters.ts
@@ -40,6 +40,11 @@
 	'catalogue.relisted': 'Listings of the whole catalogue after the first',
 	'member.lease-lost': 'Leases of the member record that lapsed',
 	'store.call-failed': 'Store calls of the catalogue and the membership that failed',
+	'fleet.planner-started': 'Times that this process acquired the planner lease',
+	'fleet.planner-stopped': 'Times that this process lost the planner lease',
+	'fleet.instance-suspect': 'Instances set aside after failed reboots',
+	'fleet.drain-undone': 'Drains undone because the budget was needed',
+	'fleet.record-invalid': 'Invalid fleet records read from the store',
 } as const;
 
 export type Counter = keyof typeof counters;
