Enforce upper limits by escrowed portions

Cause: each process counted its own running tasks against the whole limit, so that several entry instances together exceeded it.

Portions are kept in `<prefix>limits/<team>` and changed only by compare-and-swap. A process batches the records it needs into one store transaction, has one call in flight, and uses the lowest portion that any unanswered write may leave. Holders that vanish are reclaimed after the reclaim delay; a graceful shutdown returns portions first. The pump feeds member leases and lapses task leases.

reduce.test.ts answers store calls at once, as portions are now needed before a start; its assertions are unchanged.

--- /dev/null
+++ b/packages/core/src/limits/create-limits.ts
@@ -0,0 +1,34 @@
+import {portionBatchSize, portionCallBurst} from '../constants.js';
+import {type Limits} from './limits.js';
+
+/**
+ * Creates the state of the upper limits: no portions, and a member lease that is not valid yet.
+ *
+ * @param prefix - prefix of the system's keys in the store
+ * @returns the state
+ * @example
+ * const limits = createLimits('rosemaryquay/');
+ */
+export function createLimits(prefix: string): Limits {
+	return {
+		prefix,
+		running: new Map(),
+		teams: new Map(),
+		liveness: {
+			registration: '',
+			leaseValidUntil: Number.NEGATIVE_INFINITY,
+			storeAwayUntil: Number.NEGATIVE_INFINITY,
+			present: new Map(),
+			absentSince: new Map(),
+		},
+		now: Number.NEGATIVE_INFINITY,
+		call: undefined,
+		calls: 0,
+		writes: 0,
+		tokens: portionCallBurst,
+		refilledAt: 0,
+		retryAt: Number.NEGATIVE_INFINITY,
+		batch: portionBatchSize,
+		returningSince: undefined,
+	};
+}
--- a/packages/core/src/limits/has-headroom.ts
+++ b/packages/core/src/limits/has-headroom.ts
@@ -1,4 +1,6 @@
 import {type Node} from '../node/node.js';
+import {countUsable} from './count-usable.js';
+import {mayUsePortions} from './may-use-portions.js';
 
 /**
  * Tells whether this node may start one more task of a team.
@@ -10,6 +12,5 @@
  * if (hasHeadroom(node, task.team)) startTask();
  */
 export function hasHeadroom(node: Node, team: string): boolean {
-	const limit = node.snapshot.catalogue.teams[team]?.limits.running ?? 0;
-	return (node.limits.running.get(team) ?? 0) < limit;
+	return mayUsePortions(node, node.limits.now) && (node.limits.running.get(team) ?? 0) < countUsable(node, team);
 }
--- /dev/null
+++ b/packages/core/src/limits/record.ts
@@ -0,0 +1,30 @@
+/**
+ * The record `<prefix>limits/<team>` in the store. It is changed only by compare-and-swap and never
+ * deleted, so that its modification revision only increases.
+ */
+import {z} from 'zod';
+
+const countSchema = z.int().min(0);
+
+/** The part of a team's upper limit that one holder may use. */
+export const portionSchema = z.strictObject({
+	count: countSchema,
+	/** What the holder claims; more than `count` asks the other holders to make room. */
+	wanted: countSchema,
+	/** Number of the holder's last write; tells whether a write whose answer was lost took effect. */
+	write: countSchema,
+	/** Registration of the holder under which it may use the portion. */
+	registration: z.string().max(128),
+	/** Set by a lowered limit: what the holder may use until it has reduced `count`. */
+	cap: countSchema.optional(),
+});
+
+export const recordSchema = z.strictObject({
+	limit: countSchema,
+	/** Catalogue revision that the limit is from. */
+	revision: countSchema,
+	portions: z.record(z.string(), portionSchema),
+});
+
+export type Portion = z.infer<typeof portionSchema>;
+export type LimitRecord = z.infer<typeof recordSchema>;
--- /dev/null
+++ b/packages/core/src/limits/request-portion.ts
@@ -0,0 +1,25 @@
+import {portionUrgentPollMs} from '../constants.js';
+import {type Effect} from '../node/effect.js';
+import {type EventOf} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {hasHeadroom} from './has-headroom.js';
+import {syncPortions} from './sync-portions.js';
+
+/**
+ * Asks for a portion at once when an admitted request has none, rather than at the next tick.
+ *
+ * @param node - the node, updated in place
+ * @param event - the arrival, already admitted or refused
+ * @returns a store call if one may be made
+ * @example
+ * requestPortion(node, {type: 'request-arrived', at: 0, arrival});
+ */
+export function requestPortion(node: Node, event: EventOf<'request-arrived'>): Effect[] {
+	const task = node.tasks.byId.get(event.arrival.id);
+	if (task === undefined || hasHeadroom(node, task.team)) {
+		return [];
+	}
+
+	const {calledAt = Number.NEGATIVE_INFINITY} = node.limits.teams.get(task.team) ?? {};
+	return event.at - calledAt < portionUrgentPollMs ? [] : syncPortions(node);
+}
--- a/packages/core/src/node/event.ts
+++ b/packages/core/src/node/event.ts
@@ -50,6 +50,16 @@
 /** Part of the node that a store answer belongs to. */
 export type Purpose = 'claim' | 'portion' | 'member' | 'catalogue' | 'fleet';
 
+/** This node's member lease: `validUntil` counts from the time of sending the last successful renewal, less the drift margin. */
+export type MemberLease = {
+	/** Differs for each registration of a member; the identifier of its lease. */
+	readonly registration: string;
+	readonly validUntil: number;
+};
+
+/** A member whose record was in the store. */
+export type PresentMember = {readonly id: string; readonly registration: string};
+
 export type Event =
 	| {readonly type: 'request-arrived'; readonly at: number; readonly arrival: Arrival}
 	| {readonly type: 'request-cancelled'; readonly at: number; readonly taskId: string}
@@ -60,6 +70,8 @@
 	| {readonly type: 'store-listed'; readonly at: number; readonly purpose: Purpose; readonly id: string; readonly outcome: StoreOutcome<Listing>}
 	| {readonly type: 'instances-listed'; readonly at: number; readonly instances: readonly ListedInstance[]}
 	| {readonly type: 'usage-reported'; readonly at: number; readonly usage: readonly Usage[]}
+	/** What the membership code knows of member leases; absent properties are unchanged. */
+	| {readonly type: 'members-observed'; readonly at: number; readonly lease?: MemberLease; readonly storeAwayUntil?: number; readonly present?: readonly PresentMember[]}
 	| {readonly type: 'peers-listed'; readonly at: number; readonly members: readonly string[]}
 	| {readonly type: 'peer-received'; readonly at: number; readonly from: string; readonly message: Message}
 	| {readonly type: 'tick'; readonly at: number}
--- a/packages/core/src/node/reduce.test.ts
+++ b/packages/core/src/node/reduce.test.ts
@@ -3,7 +3,7 @@
 import {createSnapshot} from '../catalogue/create-snapshot.js';
 import {parseCatalogue} from '../catalogue/parse-catalogue.js';
 import {createNode} from './create-node.js';
-import {type Effect} from './effect.js';
+import {type Effect, type EffectOf} from './effect.js';
 import {type Arrival, type AttemptOutcome, type Event} from './event.js';
 import {type Node} from './node.js';
 import {reduce} from './reduce.js';
@@ -32,12 +32,21 @@
 	}];
 	apply(node, {type: 'catalogue-loaded', at: 0, snapshot: createSnapshot(parsed.catalogue, 1)});
 	apply(node, {type: 'configuration-confirmed', at: 0});
+	apply(node, {type: 'members-observed', at: 0, lease: {registration: 'l-1', validUntil: 6000}});
 	apply(node, {type: 'instances-listed', at: 0, instances});
 	return node;
 }
 
 function apply(node: Node, ...events: readonly Event[]): Effect[] {
-	return events.flatMap(event => reduce(node, event)).filter(effect => effect.type !== 'count');
+	return events.flatMap(event => reduce(node, event)).flatMap(effect => effect.type === 'store-transact' ? answerStore(node, effect) : [effect]).filter(effect => effect.type !== 'count');
+}
+
+/** Answers at once, as an empty store in which every write succeeds. */
+function answerStore(node: Node, {purpose, id, transaction}: EffectOf<'store-transact'>): Effect[] {
+	const entries = transaction.success.filter(operation => operation.type === 'get').map(() => undefined);
+	return apply(node, {
+		type: 'store-transacted', at: 1, purpose, id, outcome: {ok: true, value: {succeeded: true, revision: Number(id) + 1, entries}},
+	});
 }
 
 function arrive(id: string, options: Partial<Arrival> = {}, at = 1): Event {
--- a/packages/core/src/tasks/tick-tasks.ts
+++ b/packages/core/src/tasks/tick-tasks.ts
@@ -1,6 +1,7 @@
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
+import {hasReturnedPortions} from '../limits/has-returned-portions.js';
 import {removeTask} from '../shares/remove-task.js';
 import {dispatchPool} from './dispatch-pool.js';
 import {refuseTask} from './refuse-task.js';
@@ -33,7 +34,7 @@
 		effects.push(...dispatchPool(node, pool, event.at));
 	}
 
-	if (node.tasks.shuttingDown && !node.tasks.shutdownReported && node.tasks.byId.size === 0) {
+	if (node.tasks.shuttingDown && !node.tasks.shutdownReported && node.tasks.byId.size === 0 && hasReturnedPortions(node, event.at)) {
 		node.tasks.shutdownReported = true;
 		effects.push({type: 'shutdown-finished'});
 	}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,6 +5,7 @@
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {taskLeaseTtlMs, tickIntervalMs} from '@rosemaryquay/core/constants';
+import {mayUsePortions} from '@rosemaryquay/core/limits/may-use-portions';
 import {createNode} from '@rosemaryquay/core/node/create-node';
 import {type Event} from '@rosemaryquay/core/node/event';
 import {reduce} from '@rosemaryquay/core/node/reduce';
@@ -39,7 +40,9 @@
 		this.#settings = settings;
 		this.#logger = logger;
 		this.metrics = createMetrics(settings.metrics);
-		this.#node = createNode({id: settings.instance, zone: settings.zone, seed: Date.now() % 0x7F_FF_FF_FF});
+		this.#node = createNode({
+			id: settings.instance, zone: settings.zone, seed: Date.now() % 0x7F_FF_FF_FF, prefix: settings.store.prefix,
+		});
 		this.#host = this.#createHost();
 		this.#instanceList = new InstanceList({url: settings.instanceList.url});
 		this.#catalogueReader = new CatalogueReader({host: this.#host});
@@ -59,6 +62,8 @@
 		const {http} = this.#settings;
 		await this.#catalogueReader.refresh();
 		await this.#refreshInstances();
+		// Members do not register yet, so that no other process can see this one absent.
+		this.#dispatch({type: 'members-observed', at: this.#host.now(), lease: {registration: 'unregistered', validUntil: Number.POSITIVE_INFINITY}});
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen(http.port, http.host, resolve);
@@ -143,6 +148,10 @@
 	}
 
 	async #renewLeases(): Promise<void> {
+		if (!mayUsePortions(this.#node, this.#host.now())) {
+			return;
+		}
+
 		const addresses = new Set([...this.#host.flights.values()].map(flight => flight.address));
 		await Promise.all([...addresses].map(async address => this.#host.workers.renewLease(address)));
 	}
--- a/packages/measure/src/pump.ts
+++ b/packages/measure/src/pump.ts
@@ -6,6 +6,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {taskLeaseTtlMs, tickIntervalMs} from '@rosemaryquay/core/constants';
+import {mayUsePortions} from '@rosemaryquay/core/limits/may-use-portions';
 import {type Effect, type EffectOf} from '@rosemaryquay/core/node/effect';
 import {type AttemptOutcome, type Event} from '@rosemaryquay/core/node/event';
 import {type Node} from '@rosemaryquay/core/node/node';
@@ -32,6 +33,10 @@
 	readonly delayMs?: number;
 	/** Probability that an answer is lost after the write took effect. */
 	readonly loseAnswers?: number;
+	/** Probability that an answer comes twice. */
+	readonly duplicateAnswers?: number;
+	/** Probability that an answer comes after later ones. */
+	readonly lateAnswers?: number;
 };
 
 /** Behaviour of messages on their way, as probabilities. */
@@ -56,6 +61,12 @@
 	finished: boolean;
 };
 
+/** Time after which the store's client gives up a call, as in `EtcdStore`. */
+const storeTimeoutMs = 2000;
+
+/** Delay of a late answer; the node has given up the call by then. */
+const lateAnswerMs = 6000;
+
 type Item = {readonly at: number; readonly order: number; readonly run: () => void};
 
 type Performer<Type extends Effect['type']> = (pump: Pump, node: Node, effect: EffectOf<Type>) => void;
@@ -100,6 +111,9 @@
 	},
 };
 
+/** Renewals of a task lease within its time to live, as in the daemon. */
+const renewalsPerLease = 3;
+
 const defaultDelivery: Delivery = {
 	delayMs: 1, jitterMs: 1, drop: 0, duplicate: 0,
 };
@@ -115,12 +129,15 @@
 	delivery: Delivery;
 	readonly workerDelayMs: number;
 	readonly nodes = new Map<string, Node>();
+	/** Nodes that cannot reach the store. */
+	readonly partitioned = new Set<string>();
 	readonly #random;
 	readonly #worker: WorkerModel;
 	readonly #queue = new Heap<Item>((a, b) => a.at - b.at || a.order - b.order);
 	readonly #running = new Map<string, Running>();
 	readonly #busy = new Map<string, number>();
 	readonly #pausedUntil = new Map<string, number>();
+	readonly #leasesRenewedAt = new Map<string, number>();
 	readonly #stopped = new Set<string>();
 	#order = 0;
 
@@ -146,6 +163,7 @@
 			}
 
 			this.deliver(node.id, {type: 'tick'});
+			this.#renewTaskLeases(node);
 			this.after(tickIntervalMs, tick);
 		};
 
@@ -199,6 +217,13 @@
 	/** Runs a store call and delivers its outcome. */
 	callStore<Value>(nodeId: string, call: () => Value, toEvent: (outcome: CallOutcome<Value>) => UntimedEvent): void {
 		this.storeCalls += 1;
+		if (this.partitioned.has(nodeId)) {
+			this.after(storeTimeoutMs, () => {
+				this.deliver(nodeId, toEvent({ok: false, reason: 'outcome-unknown'}));
+			});
+			return;
+		}
+
 		this.after(this.#delay() + (this.storeCondition.delayMs ?? 0), () => {
 			if (this.storeCondition.down === true) {
 				this.after(this.#delay(), () => {
@@ -209,12 +234,25 @@
 
 			const value = call();
 			const lost = this.chance(this.storeCondition.loseAnswers ?? 0);
-			this.after(this.#delay(), () => {
-				this.deliver(nodeId, toEvent(lost ? {ok: false, reason: 'outcome-unknown'} : {ok: true, value}));
-			});
+			const lateMs = this.chance(this.storeCondition.lateAnswers ?? 0) ? lateAnswerMs : 0;
+			const copies = this.chance(this.storeCondition.duplicateAnswers ?? 0) ? 2 : 1;
+			for (let copy = 0; copy < copies; copy++) {
+				this.after(this.#delay() + lateMs, () => {
+					this.deliver(nodeId, toEvent(lost ? {ok: false, reason: 'outcome-unknown'} : {ok: true, value}));
+				});
+			}
 		});
 	}
 
+	isStopped(nodeId: string): boolean {
+		return this.#stopped.has(nodeId);
+	}
+
+	/** Whether a node's process takes no events at the moment. */
+	isHalted(nodeId: string): boolean {
+		return this.#stopped.has(nodeId) || (this.#pausedUntil.get(nodeId) ?? 0) > this.now;
+	}
+
 	pause(nodeId: string, untilMs: number): void {
 		this.#pausedUntil.set(nodeId, untilMs);
 	}
@@ -222,13 +260,6 @@
 	/** Ends a node at once; workers stop its tasks when their leases lapse. */
 	stop(nodeId: string): void {
 		this.#stopped.add(nodeId);
-		for (const [attemptId, running] of this.#running) {
-			if (running.node === nodeId) {
-				this.after(taskLeaseTtlMs, () => {
-					this.endAttempt(nodeId, attemptId, {type: 'lost', cause: 'connection-lost'});
-				});
-			}
-		}
 	}
 
 	startAttempt(node: Node, effect: EffectOf<'start-attempt'>): void {
@@ -256,6 +287,7 @@
 			this.trace.push({
 				type: 'started', at: this.now, node: node.id, taskId, attemptId, workerId, team,
 			});
+			this.#watchTaskLease(node.id, attemptId, this.now);
 			this.after(this.#worker.serviceTimeMs(taskId), () => {
 				this.endAttempt(node.id, attemptId, outcome);
 			});
@@ -295,6 +327,30 @@
 		return probability > 0 && uniformInt(this.#random, 0, 999_999) < probability * 1_000_000;
 	}
 
+	/** Renews the task leases of a node as often as the daemon does, while it may use its portions. */
+	#renewTaskLeases(node: Node): void {
+		const due = this.now - (this.#leasesRenewedAt.get(node.id) ?? 0) >= taskLeaseTtlMs / renewalsPerLease;
+		if (due && !this.isHalted(node.id) && mayUsePortions(node, this.now)) {
+			this.#leasesRenewedAt.set(node.id, this.now);
+		}
+	}
+
+	/** Ends a task when its lease lapses at the worker. */
+	#watchTaskLease(nodeId: string, attemptId: string, startedAt: number): void {
+		const lapsesAt = Math.max(startedAt, this.#leasesRenewedAt.get(nodeId) ?? 0) + taskLeaseTtlMs;
+		this.at(lapsesAt, () => {
+			if (!this.#running.has(attemptId)) {
+				return;
+			}
+
+			if ((this.#leasesRenewedAt.get(nodeId) ?? 0) + taskLeaseTtlMs > this.now) {
+				this.#watchTaskLease(nodeId, attemptId, startedAt);
+			} else {
+				this.endAttempt(nodeId, attemptId, {type: 'lost', cause: 'connection-lost'});
+			}
+		});
+	}
+
 	#report(nodeId: string, attemptId: string, outcome: AttemptOutcome): void {
 		this.after(this.workerDelayMs, () => {
 			this.deliver(nodeId, {type: 'attempt-finished', attemptId, outcome});
--- /dev/null
+++ b/packages/measure/src/run-limit-scenario.ts
@@ -0,0 +1,292 @@
+/**
+ * Runs one user's entry instances on the pump under skewed demand and a fault, and measures
+ * overruns, utilisation of the limits and the recovery of portions.
+ */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {createSnapshot} from '@rosemaryquay/core/catalogue/create-snapshot';
+import {type Catalogue} from '@rosemaryquay/core/catalogue/schema';
+import {recordSchema} from '@rosemaryquay/core/limits/record';
+import {createNode} from '@rosemaryquay/core/node/create-node';
+import {type Node} from '@rosemaryquay/core/node/node';
+import {feedMembers} from './feed-members.js';
+import {type User} from './load-user.js';
+import {Pump, type TraceEntry} from './pump.js';
+
+/** What a fault acts on. */
+export type Scene = {
+	readonly pump: Pump;
+	readonly user: User;
+	/** Identifiers of the entry instances at the start. */
+	readonly nodeIds: readonly string[];
+	/** Starts an entry instance under a new identifier. */
+	start(nodeId: string): void;
+	/** Multiplies every limit from now on. */
+	scaleLimits(factor: number): void;
+	/** Sends the requests of one entry instance to another. */
+	moveDemand(from: string, to: string): void;
+};
+
+export type Scenario = {
+	readonly user: User;
+	readonly seed: number;
+	readonly durationMs: number;
+	/** Teams with demand; all by default. */
+	readonly teams?: readonly string[];
+	/** Demand relative to the limit of each team. */
+	readonly demand: number;
+	/** Part of the demand that arrives at one entry instance. */
+	readonly skew: number;
+	/** Gives each entry instance an equal, fixed part of each limit. */
+	readonly staticSplit?: boolean;
+	fault?(scene: Scene): void;
+};
+
+export type Measured = {
+	/** Starts that brought a team above the limit in force. */
+	readonly overruns: number;
+	/** Running time relative to the limits, after the warm-up. */
+	readonly utilisation: number;
+	readonly started: number;
+	/** Store calls of one entry instance a second, including membership. */
+	readonly callsPerSecond: number;
+	readonly counters: Readonly<Record<string, number>>;
+	/** Longest time for which a record still had a portion of a stopped entry instance. */
+	readonly recoveryMs: number;
+};
+
+const prefix = 'rosemaryquay/';
+const warmUpMs = 3000;
+const arrivalIntervalMs = 20;
+const confirmIntervalMs = 500;
+const recordCheckMs = 100;
+/** A changed limit is in force everywhere within 3 s (P11). */
+const inForceMs = 3000;
+const deadlineMs = 1500;
+const shortTaskMs = 300;
+const longTaskMs = 6000;
+const longTaskEvery = 25;
+const meanTaskMs = ((shortTaskMs * (longTaskEvery - 1)) + longTaskMs) / longTaskEvery;
+
+function scaleCatalogue(catalogue: Catalogue, factor: number): Catalogue {
+	const teams = Object.fromEntries(Object.entries(catalogue.teams).map(([name, team]) => [name, {...team, limits: {...team.limits, running: Math.floor(team.limits.running * factor)}}]));
+	return {...catalogue, teams};
+}
+
+/** One queue of each service, so that the demand of a team spreads over all pools. */
+function listQueues(catalogue: Catalogue): string[] {
+	const byService = new Map<string, string>();
+	for (const [name, {service}] of Object.entries(catalogue.queues)) {
+		byService.set(service, name);
+	}
+
+	return [...byService.values()];
+}
+
+class Run implements Scene {
+	readonly pump: Pump;
+	readonly user: User;
+	readonly nodeIds: readonly string[];
+	recoveryMs = 0;
+	/** Limits in force by time, as factors of the catalogue's. */
+	readonly factors: Array<{at: number; factor: number}> = [{at: 0, factor: 1}];
+	readonly #scenario: Scenario;
+	readonly #random: RandomGenerator;
+	readonly #register: (nodeId: string) => void;
+	readonly #destination = new Map<string, string>();
+	readonly #queues: readonly string[];
+	#revision = 1;
+	#requests = 0;
+
+	constructor(scenario: Scenario) {
+		const {user, seed} = scenario;
+		this.#scenario = scenario;
+		this.user = user;
+		this.#random = xoroshiro128plus(seed);
+		this.#queues = listQueues(user.catalogue);
+		this.nodeIds = Array.from({length: user.fleet.entryInstances}, (_, index) => `entry-${index + 1}`);
+		const worker = {slots: 8, serviceTimeMs: (taskId: string) => Number(taskId.slice(2)) % longTaskEvery === 0 ? longTaskMs : shortTaskMs};
+		this.pump = new Pump({nodes: this.nodeIds.map(id => this.#createNode(id)), seed, worker});
+		this.#register = feedMembers(this.pump, prefix);
+		for (const id of this.nodeIds) {
+			this.#prepare(id);
+		}
+	}
+
+	start(nodeId: string): void {
+		this.pump.addNode(this.#createNode(nodeId));
+		this.#register(nodeId);
+		this.#prepare(nodeId);
+	}
+
+	scaleLimits(factor: number): void {
+		this.#revision += 1;
+		this.factors.push({at: this.pump.now, factor});
+		for (const nodeId of this.pump.nodes.keys()) {
+			this.pump.after(uniformInt(this.#random, 0, inForceMs / 2), () => {
+				this.#load(nodeId);
+			});
+		}
+	}
+
+	moveDemand(from: string, to: string): void {
+		this.#destination.set(from, to);
+	}
+
+	run(): void {
+		const {pump} = this;
+		const {durationMs, fault} = this.#scenario;
+		pump.run(1000);
+		for (const [index, team] of this.teams.entries()) {
+			this.#arrive(team, index);
+		}
+
+		this.#watchRecords(new Map());
+		fault?.(this);
+		pump.run(durationMs);
+	}
+
+	get teams(): readonly string[] {
+		return this.#scenario.teams ?? Object.keys(this.user.catalogue.teams);
+	}
+
+	#createNode(id: string): Node {
+		const {staticSplit = false, seed} = this.#scenario;
+		return createNode({
+			id, zone: this.user.fleet.zones[0] ?? '', seed, prefix: staticSplit ? `${prefix}static/${id}/` : prefix,
+		});
+	}
+
+	#load(nodeId: string): void {
+		const split = this.#scenario.staticSplit === true ? this.nodeIds.length : 1;
+		const factor = (this.factors.at(-1)?.factor ?? 1) / split;
+		this.pump.deliver(nodeId, {type: 'catalogue-loaded', snapshot: createSnapshot(scaleCatalogue(this.user.catalogue, factor), this.#revision)});
+	}
+
+	#prepare(nodeId: string): void {
+		const {pump, user} = this;
+		const node = pump.nodes.get(nodeId);
+		this.#load(nodeId);
+		pump.deliver(nodeId, {type: 'instances-listed', instances: user.instances});
+		const confirm = (): void => {
+			if (pump.nodes.get(nodeId) === node && !pump.isStopped(nodeId)) {
+				pump.deliver(nodeId, {type: 'configuration-confirmed'});
+				pump.after(confirmIntervalMs, confirm);
+			}
+		};
+
+		confirm();
+	}
+
+	/** Sends a team's requests: most to one entry instance, the others evenly to the rest. */
+	#arrive(team: string, hot: number): void {
+		const {demand, skew} = this.#scenario;
+		const entry = this.user.catalogue.teams[team];
+		const [key] = Object.values(entry?.keys ?? {});
+		const perInterval = demand * (entry?.limits.running ?? 0) * arrivalIntervalMs / meanTaskMs;
+		const due = this.nodeIds.map(() => 0);
+		const arrive = (): void => {
+			for (const [index, id] of this.nodeIds.entries()) {
+				const part = index === hot % this.nodeIds.length ? skew : (1 - skew) / (this.nodeIds.length - 1);
+				due[index] = (due[index] ?? 0) + (perInterval * part * uniformInt(this.#random, 0, 200) / 100);
+				for (; (due[index] ?? 0) >= 1; due[index] = (due[index] ?? 0) - 1) {
+					this.#requests += 1;
+					const queue = this.#queues[this.#requests % this.#queues.length] ?? '';
+					this.pump.deliver(this.#destination.get(id) ?? id, {
+						type: 'request-arrived', arrival: {
+							id: `r-${this.#requests}`, queue, bodyBytes: 0, deadlineMs, ...(key !== undefined && {keyHash: key.hash}),
+						},
+					});
+				}
+			}
+
+			this.pump.after(arrivalIntervalMs, arrive);
+		};
+
+		arrive();
+	}
+
+	/** Measures how long portions of stopped entry instances stay in the records. */
+	#watchRecords(stoppedAt: Map<string, number>): void {
+		const {pump} = this;
+		for (const nodeId of pump.nodes.keys()) {
+			if (pump.isStopped(nodeId) && !stoppedAt.has(nodeId)) {
+				stoppedAt.set(nodeId, pump.now);
+			}
+		}
+
+		for (const {value} of stoppedAt.size === 0 ? [] : pump.store.list(`${prefix}limits/`).entries) {
+			for (const holder of Object.keys(recordSchema.parse(JSON.parse(value)).portions)) {
+				this.recoveryMs = Math.max(this.recoveryMs, pump.now - (stoppedAt.get(holder) ?? pump.now));
+			}
+		}
+
+		pump.after(recordCheckMs, () => {
+			this.#watchRecords(stoppedAt);
+		});
+	}
+}
+
+/** Highest limit that may be in force at a time. */
+function limitAt(limit: number, factors: ReadonlyArray<{at: number; factor: number}>, at: number): number {
+	let highest = 0;
+	for (const [index, {factor}] of factors.entries()) {
+		const next = factors[index + 1];
+		if (factors[index]?.at !== undefined && (factors[index]?.at ?? 0) <= at && (next === undefined || at <= next.at + inForceMs)) {
+			highest = Math.max(highest, Math.floor(limit * factor));
+		}
+	}
+
+	return highest;
+}
+
+function measureTeam(trace: readonly TraceEntry[], limit: number, factors: ReadonlyArray<{at: number; factor: number}>, durationMs: number): {overruns: number; busyMs: number; started: number} {
+	let [running, overruns, started, busyMs, since] = [0, 0, 0, 0, 0];
+	for (const entry of trace) {
+		busyMs += running * Math.max(0, entry.at - Math.max(since, warmUpMs));
+		since = entry.at;
+		if (entry.type === 'started') {
+			running += 1;
+			started += 1;
+			overruns += running > limitAt(limit, factors, entry.at) ? 1 : 0;
+		} else if (entry.type === 'ended') {
+			running -= 1;
+		}
+	}
+
+	return {overruns, busyMs: busyMs + (running * (durationMs - since)), started};
+}
+
+/**
+ * Runs a scenario on virtual time.
+ *
+ * @param scenario - user, seed, demand and fault
+ * @returns what was measured
+ * @example
+ * const {overruns} = runLimitScenario({user, seed: 1, durationMs: 30_000, demand: 1.5, skew: 0.9});
+ */
+export function runLimitScenario(scenario: Scenario): Measured {
+	const run = new Run(scenario);
+	run.run();
+	const {durationMs, user} = scenario;
+	let [overruns, busyMs, started, limits] = [0, 0, 0, 0];
+	for (const team of run.teams) {
+		const limit = user.catalogue.teams[team]?.limits.running ?? 0;
+		const trace = run.pump.trace.filter(entry => (entry.type === 'started' || entry.type === 'ended') && entry.team === team);
+		const measured = measureTeam(trace, limit, run.factors, durationMs);
+		overruns += measured.overruns;
+		busyMs += measured.busyMs;
+		started += measured.started;
+		limits += limit;
+	}
+
+	return {
+		overruns,
+		utilisation: busyMs / (limits * (durationMs - warmUpMs)),
+		started,
+		callsPerSecond: run.pump.storeCalls / run.nodeIds.length / (durationMs / 1000),
+		counters: Object.fromEntries([...run.pump.counters].filter(([name]) => name.startsWith('portion.') || name.startsWith('refusal'))),
+		recoveryMs: run.recoveryMs,
+	};
+}
--- a/packages/testing/src/store-model.ts
+++ b/packages/testing/src/store-model.ts
@@ -88,6 +88,13 @@
 		return this.#leases.has(id);
 	}
 
+	/** Gives every lease its full time to live, as a store does that returns from an outage. */
+	extendLeases(now: number): void {
+		for (const lease of this.#leases.values()) {
+			lease.expiresAt = now + lease.ttlMs;
+		}
+	}
+
 	expireLeases(now: number): void {
 		for (const lease of this.#leases.values()) {
 			if (lease.expiresAt <= now) {
