--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -60,11 +60,11 @@
 
 /** Age at which a portion record in use is read again, without and with unmet demand. */
 export const portionPollMs = 1000;
-export const portionUrgentPollMs = 300;
+export const portionUrgentPollMs = 250;
 
 /** Time that a holder keeps an idle portion while no other holder wants it, and while one does. */
 export const idlePortionMs = 10_000;
-export const contendedPortionMs = 250;
+export const contendedPortionMs = 100;
 
 /** Longest wait for the return of portions in a graceful shutdown; later they are reclaimed. */
 export const portionReturnTimeoutMs = 3000;
--- a/packages/core/src/limits/adopt-record.ts
+++ b/packages/core/src/limits/adopt-record.ts
@@ -62,9 +62,8 @@
 
 	// A lowered limit is in force when every holder has reduced its portion; nothing starts before.
 	const total = Object.values(record.portions).reduce((sum, {count}) => sum + count, 0);
-	const target = total > record.limit ? 0 : fairTarget(record, node.id);
 	held.view = {
-		record, modRevision, at: node.limits.now, target,
+		record, modRevision, at: node.limits.now, exceeded: total > record.limit, target: fairTarget(record, node.id),
 	};
 	noteAbsentHolders(node, record);
 	return true;
--- a/packages/core/src/limits/count-usable.ts
+++ b/packages/core/src/limits/count-usable.ts
@@ -10,9 +10,9 @@
  * countUsable(node, 'team-a');
  */
 export function countUsable(node: Node, team: string): number {
-	const {teams, liveness} = node.limits;
+	const {teams, liveness, failing} = node.limits;
 	const {view, uncertain} = teams.get(team) ?? {};
-	if (view === undefined) {
+	if (view === undefined || view.exceeded) {
 		return 0;
 	}
 
@@ -22,7 +22,8 @@
 		return 0;
 	}
 
-	let usable = Math.min(portion.count, portion.cap ?? portion.count, view.target);
+	// Without the store, room that is left for other holders cannot reach them.
+	let usable = failing ? portion.count : Math.min(portion.count, view.target);
 	if (uncertain?.compared === view.modRevision) {
 		usable = Math.min(usable, uncertain.count);
 	}
--- a/packages/core/src/limits/create-limits.ts
+++ b/packages/core/src/limits/create-limits.ts
@@ -27,6 +27,7 @@
 		writes: 0,
 		tokens: portionCallBurst,
 		refilledAt: 0,
+		failing: false,
 		retryAt: Number.NEGATIVE_INFINITY,
 		batch: portionBatchSize,
 		returningSince: undefined,
--- a/packages/core/src/limits/grant-free.ts
+++ b/packages/core/src/limits/grant-free.ts
@@ -18,7 +18,7 @@
 
 	const portions: Record<string, Portion> = {};
 	for (const [holder, portion] of Object.entries(record.portions)) {
-		const claims = portion.wanted > portion.count && portion.cap === undefined && !excluded.includes(holder);
+		const claims = portion.wanted > portion.count && !excluded.includes(holder);
 		const target = claims ? Math.min(portion.wanted, fairTarget(record, holder)) : portion.count;
 		const granted = Math.max(0, Math.min(target - portion.count, free));
 		free -= granted;
--- a/packages/core/src/limits/limits.ts
+++ b/packages/core/src/limits/limits.ts
@@ -8,7 +8,9 @@
 	readonly record: LimitRecord;
 	readonly modRevision: number;
 	readonly at: number;
-	/** Most that this node may use: its fair part while holders together want more than the limit, 0 while they hold more. */
+	/** The holders together hold more than the limit, which was lowered; nothing starts. */
+	readonly exceeded: boolean;
+	/** This node's fair part while the holders together want more than the limit, otherwise infinity. */
 	readonly target: number;
 };
 
@@ -88,6 +90,8 @@
 	/** Calls that may be made now, and when this was last computed. */
 	tokens: number;
 	refilledAt: number;
+	/** The last store call failed. */
+	failing: boolean;
 	/** No call is made before this time. */
 	retryAt: number;
 	/** Most records that one transaction writes; halved by conflicts. */
--- a/packages/core/src/limits/plan-record.ts
+++ b/packages/core/src/limits/plan-record.ts
@@ -29,7 +29,7 @@
 
 function isWriteDue(before: LimitRecord, after: LimitRecord, holder: string): boolean {
 	const [own, next] = [before.portions[holder], after.portions[holder]];
-	return own?.count !== next?.count || own?.registration !== next?.registration || own?.cap !== next?.cap || before.limit !== after.limit;
+	return own?.count !== next?.count || own?.registration !== next?.registration || before.limit !== after.limit;
 }
 
 function pollInterval(need: number, granted: number): number {
--- a/packages/core/src/limits/propose-record.ts
+++ b/packages/core/src/limits/propose-record.ts
@@ -1,5 +1,4 @@
 import {contendedPortionMs, idlePortionMs} from '../constants.js';
-import {applyLimit} from './apply-limit.js';
 import {fairTarget} from './fair-target.js';
 import {grantFree} from './grant-free.js';
 import {type LimitRecord, type Portion} from './record.js';
@@ -41,11 +40,16 @@
 	const entries = Object.entries(record.portions);
 	const free = record.limit - entries.reduce((sum, [, {count}]) => sum + count, 0);
 	const pressed = entries.some(([name, {wanted, count}]) => name !== holder && wanted > count);
-	const held = Math.min(portion.count, portion.cap ?? portion.count);
+	const held = portion.count;
 	const spare = pressed || !Number.isFinite(idleMs) ? 0 : Math.ceil(need / spareDivisor);
 	const wanted = need > held ? need + spare : need;
 	const kept = idleMs <= (pressed ? contendedPortionMs : idlePortionMs) ? Math.max(wanted, held) : wanted;
 	const desired = Math.min(kept, fairTarget(record, holder), record.limit);
+	if (free < 0) {
+		// The limit was lowered. Nothing starts before the portions fit it, so idle parts go back at once.
+		return Math.max(Math.min(running, held), Math.min(desired, held + free));
+	}
+
 	if (desired > portion.count) {
 		return portion.count + Math.max(0, Math.min(desired - portion.count, free));
 	}
@@ -66,11 +70,11 @@
  */
 export function proposeRecord(record: LimitRecord, request: Request): LimitRecord {
 	const {holder, registration, write, running, need, demand, limit, revision, absent, vanished} = request;
-	const inForce = revision > record.revision && limit !== record.limit ? applyLimit(record, limit, revision) : record;
+	const inForce = revision > record.revision && limit !== record.limit ? {...record, limit, revision} : record;
 	const {[holder]: own, ...present} = inForce.portions;
 	const others = Object.fromEntries(Object.entries(present).filter(([name]) => !vanished.includes(name)));
 
-	const claim = Math.max(Math.min(need, own?.count ?? 0), Math.ceil(Math.min(need, demand) / tasksPerClaim), Math.min(need, 1));
+	const claim = Math.max(Math.min(need, own?.count ?? 0), Math.round(Math.min(need, demand) / tasksPerClaim), Math.min(need, Math.round(demand), 1));
 	const portion: Portion = {
 		count: 0, ...own, wanted: Math.min(claim, inForce.limit), write, registration,
 	};
@@ -80,7 +84,5 @@
 		return grantFree({...inForce, portions: others}, absent);
 	}
 
-	const {cap, ...uncapped} = portion;
-	const changed = {...uncapped, count, ...(cap !== undefined && cap < count && {cap})};
-	return grantFree({...inForce, portions: {...others, [holder]: changed}}, [...absent, holder]);
+	return grantFree({...inForce, portions: {...others, [holder]: {...portion, count}}}, [...absent, holder]);
 }
--- a/packages/core/src/limits/receive-portions.ts
+++ b/packages/core/src/limits/receive-portions.ts
@@ -110,6 +110,7 @@
 	}
 
 	limits.call = undefined;
+	limits.failing = !event.outcome.ok;
 	const effects = event.outcome.ok ? receiveResult(node, call, event.outcome.value) : receiveFailure(node, call, event.outcome);
 	return [...effects, ...syncPortions(node)];
 }
--- a/packages/core/src/limits/record.ts
+++ b/packages/core/src/limits/record.ts
@@ -15,8 +15,6 @@
 	write: countSchema,
 	/** Registration of the holder under which it may use the portion. */
 	registration: z.string().max(128),
-	/** Set by a lowered limit: what the holder may use until it has reduced `count`. */
-	cap: countSchema.optional(),
 });
 
 export const recordSchema = z.strictObject({
--- a/packages/core/src/limits/sync-portions.ts
+++ b/packages/core/src/limits/sync-portions.ts
@@ -124,6 +124,7 @@
 	}
 
 	limits.call = undefined;
+	limits.failing = true;
 	limits.retryAt = limits.now + portionRetryMs + uniformInt(node.random, 0, portionRetryMs);
 }
 
