Read portion records less often with many teams

Cause: a process read each record in use every second and compared every portion with its need at every tick, whatever the number of teams.

The interval between reads without unmet demand grows with the teams, and a portion that nobody presses is compared once a second.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -58,8 +58,13 @@
 /** Wait after a store call for portions failed, before jitter. */
 export const portionRetryMs = 500;
 
-/** Age at which a portion record in use is read again, without and with unmet demand. */
+/** Age at which a portion record in use is read again without unmet demand. */
 export const portionPollMs = 1000;
+
+/** Least interval between two reads of records in use, for each team of a process; bounds what it reads a second. */
+export const portionPollPerTeamMs = 40;
+
+/** Age at which a portion record is read again with unmet demand. */
 export const portionUrgentPollMs = 250;
 
 /** Time that a holder keeps an idle portion while no other holder wants it, and while one does. */
--- a/packages/core/src/limits/limits.ts
+++ b/packages/core/src/limits/limits.ts
@@ -10,6 +10,8 @@
 	readonly at: number;
 	/** The holders together hold more than the limit, which was lowered; nothing starts. */
 	readonly exceeded: boolean;
+	/** Another holder claims more than it has. */
+	readonly pressed: boolean;
 	/** This node's fair part while the holders together want more than the limit, otherwise infinity. */
 	readonly target: number;
 };
@@ -37,6 +39,8 @@
 	demandAt: number;
 	/** Last time at which the whole portion was needed. */
 	neededAt: number;
+	/** Last time at which the portion was compared with the need. */
+	plannedAt: number;
 	/** Last time at which the record was part of a store call. */
 	calledAt: number;
 };
--- a/packages/core/src/limits/plan-record.ts
+++ b/packages/core/src/limits/plan-record.ts
@@ -1,4 +1,6 @@
-import {demandAverageMs, portionPollMs, portionUrgentPollMs} from '../constants.js';
+import {
+	demandAverageMs, portionPollMs, portionPollPerTeamMs, portionUrgentPollMs,
+} from '../constants.js';
 import {type Node} from '../node/node.js';
 import {countNeed} from './count-need.js';
 import {listVanished} from './list-vanished.js';
@@ -32,12 +34,19 @@
 	return own?.count !== next?.count || own?.registration !== next?.registration || before.limit !== after.limit;
 }
 
-function pollInterval(need: number, granted: number): number {
+function pollInterval(node: Node, need: number, granted: number): number {
 	if (need > granted) {
 		return portionUrgentPollMs;
 	}
 
-	return granted > 0 ? portionPollMs : Number.POSITIVE_INFINITY;
+	return granted > 0 ? Math.max(portionPollMs, node.limits.teams.size * portionPollPerTeamMs) : Number.POSITIVE_INFINITY;
+}
+
+/** Whether nothing can be due before the next poll: the need is met, and no other holder claims a part. */
+function isQuiet({id, limits, tasks}: Node, {view, uncertain}: HeldPortion, need: number): boolean {
+	const own = view?.record.portions[id];
+	return own?.registration === limits.liveness.registration && need <= own.count && view?.pressed === false
+		&& !view.exceeded && uncertain === undefined && !tasks.shuttingDown;
 }
 
 function observeDemand(node: Node, held: HeldPortion, need: number): void {
@@ -93,6 +102,11 @@
 		return held.uncertain === undefined ? undefined : {proposal: view.record, vanished: []};
 	}
 
+	if (isQuiet(node, held, need) && limits.now - held.plannedAt < portionPollMs) {
+		return undefined;
+	}
+
+	held.plannedAt = limits.now;
 	const vanished = listVanished(node, view.record);
 	const proposal = propose(node, team, held, {record: view.record, vanished});
 	const due = vanished.length > 0 || held.uncertain !== undefined || isWriteDue(view.record, proposal, node.id);
@@ -100,5 +114,5 @@
 		return {proposal, vanished};
 	}
 
-	return limits.now - view.at >= pollInterval(need, own?.count ?? 0) ? {vanished: []} : undefined;
+	return limits.now - view.at >= pollInterval(node, need, own?.count ?? 0) ? {vanished: []} : undefined;
 }
--- a/packages/core/src/limits/propose-record.ts
+++ b/packages/core/src/limits/propose-record.ts
@@ -69,18 +69,16 @@
  * const proposal = proposeRecord(view.record, request);
  */
 export function proposeRecord(record: LimitRecord, request: Request): LimitRecord {
-	const {holder, registration, write, running, need, demand, limit, revision, absent, vanished} = request;
+	const {holder, registration, write, need, demand, limit, revision, absent, vanished} = request;
 	const inForce = revision > record.revision && limit !== record.limit ? {...record, limit, revision} : record;
 	const {[holder]: own, ...present} = inForce.portions;
 	const others = Object.fromEntries(Object.entries(present).filter(([name]) => !vanished.includes(name)));
-
 	const claim = Math.max(Math.min(need, own?.count ?? 0), Math.round(Math.min(need, demand) / tasksPerClaim), Math.min(need, Math.round(demand), 1));
 	const portion: Portion = {
 		count: 0, ...own, wanted: Math.min(claim, inForce.limit), write, registration,
 	};
 	const count = chooseCount({...inForce, portions: {...others, [holder]: portion}}, portion, request);
-	// A running task counts against the limit even after the portion was reclaimed.
-	if (count === 0 && portion.wanted === 0 && running === 0) {
+	if (count === 0 && portion.wanted === 0) {
 		return grantFree({...inForce, portions: others}, absent);
 	}
 
--- a/packages/core/src/limits/sync-portions.ts
+++ b/packages/core/src/limits/sync-portions.ts
@@ -19,7 +19,7 @@
 		for (const [team, waiting] of byTeam) {
 			if (waiting.length > 0 && !teams.has(team)) {
 				teams.set(team, {
-					demand: 0, demandAt: node.limits.now, neededAt: node.limits.now, calledAt: Number.NEGATIVE_INFINITY,
+					demand: 0, demandAt: node.limits.now, neededAt: node.limits.now, plannedAt: Number.NEGATIVE_INFINITY, calledAt: Number.NEGATIVE_INFINITY,
 				});
 			}
 		}
