--- /dev/null
+++ b/packages/core/src/limits/observe-membership.ts
@@ -0,0 +1,44 @@
+import {clockDriftMarginMs, freshnessLimitMs} from '../constants.js';
+import {isStoreAwayForAll} from '../freshness/is-store-away-for-all.js';
+import {type Effect} from '../node/effect.js';
+import {type MemberLease, type PresentMember} from '../node/event.js';
+import {type Node} from '../node/node.js';
+import {observeMembers} from './observe-members.js';
+
+function describeLease(node: Node): MemberLease | undefined {
+	const {
+		registered, leaseId, leaseSentAt, leaseTtlMs,
+	} = node.membership.registration;
+	return !registered || leaseId === undefined ? undefined : {registration: leaseId, validUntil: leaseSentAt + leaseTtlMs - clockDriftMarginMs};
+}
+
+function listPresent(node: Node): PresentMember[] {
+	return [...node.membership.records.values()].map(({id, lease}) => ({id, registration: lease}));
+}
+
+/**
+ * Tells the limits what the membership knows: this node's own lease, the members that are present,
+ * and whether a majority confirms that the store is unavailable to all.
+ *
+ * @param node - the node, updated in place
+ * @param event - any event; only its time matters
+ * @returns no effects
+ * @example
+ * observeMembership(node, {at: 100});
+ */
+export function observeMembership(node: Node, event: {readonly at: number}): Effect[] {
+	const {registration, listed} = node.membership;
+	if (registration.prefix === undefined) {
+		return [];
+	}
+
+	const {at} = event;
+	const lease = describeLease(node);
+	return observeMembers(node, {
+		type: 'members-observed',
+		at,
+		...(lease !== undefined && {lease}),
+		...(isStoreAwayForAll(node, at) && {storeAwayUntil: node.freshness.awayAt + freshnessLimitMs}),
+		...(listed && {present: listPresent(node)}),
+	});
+}
--- a/packages/core/src/membership/format-member.ts
+++ b/packages/core/src/membership/format-member.ts
@@ -1,7 +1,9 @@
 import {z} from 'zod';
 import {type Node} from '../node/node.js';
 
-export const memberRecordSchema = z.object({address: z.string(), zone: z.string(), incarnation: z.number()});
+export const memberRecordSchema = z.object({
+	address: z.string(), zone: z.string(), incarnation: z.number(), lease: z.string().default(''),
+});
 
 /**
  * Formats the node's record in the store.
@@ -12,6 +14,8 @@
  * const value = formatMember(node);
  */
 export function formatMember(node: Node): string {
-	const {address, incarnation} = node.membership.registration;
-	return JSON.stringify({address, zone: node.zone, incarnation});
+	const {address, incarnation, leaseId = ''} = node.membership.registration;
+	return JSON.stringify({
+		address, zone: node.zone, incarnation, lease: leaseId,
+	});
 }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -22,7 +22,11 @@
 };
 
 /** A member's record in the store. */
-export type MemberRecord = Peer & {readonly incarnation: number};
+export type MemberRecord = Peer & {
+	readonly incarnation: number;
+	/** Lease under which the member has registered. */
+	readonly lease: string;
+};
 
 /** The node's own record and lease. */
 export type Registration = {
--- a/packages/core/src/node/counters.ts
+++ b/packages/core/src/node/counters.ts
@@ -45,6 +45,14 @@
 	'fleet.instance-suspect': 'Instances set aside after failed reboots',
 	'fleet.drain-undone': 'Drains undone because the budget was needed',
 	'fleet.record-invalid': 'Invalid fleet records read from the store',
+	'portion.call': 'Store calls for portions of upper limits',
+	'portion.call-failed': 'Store calls for portions that failed or had an unknown outcome',
+	'portion.conflict': 'Store calls for portions that another holder\'s write preceded, or whose absent holder was present',
+	'portion.stale-answer': 'Answers to earlier store calls for portions, dropped',
+	'portion.resolved-written': 'Writes with a lost answer that were found in the record',
+	'portion.resolved-not-written': 'Writes with a lost answer that were not found in the record',
+	'portion.reclaimed': 'Vanished holders whose portions were taken back',
+	'portion.invalid-record': 'Limit records that could not be read; the team starts nothing until they are corrected',
 } as const;
 
 export type Counter = keyof typeof counters;
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -5,20 +5,22 @@
 import {catalogueSchema} from '../catalogue/schema.js';
 import {createMembership} from '../membership/create-membership.js';
 import {initialRetryTokens} from '../constants.js';
+import {createLimits} from '../limits/create-limits.js';
 import {type Node} from './node.js';
 
 /**
  * Creates the state of an entry instance with an empty catalogue at revision 0.
  *
  * @param options - identifier, availability zone, seed of the random generator, prefix of store keys, and
- * milliseconds since the epoch at time 0 of the monotonic clock
+ * milliseconds since the epoch at time 0 of the monotonic clock, and `soleHolder` for a node that shares the
+ * upper limits with no other
  * @returns the node
  * @example
  * const node = createNode({id: 'entry-1', zone: 'zone-a', seed: 1});
  */
-export function createNode(options: {id: string; zone: string; seed?: number; prefix?: string; clockOriginMs?: number}): Node {
+export function createNode(options: {id: string; zone: string; seed?: number; prefix?: string; clockOriginMs?: number; soleHolder?: boolean}): Node {
 	const {
-		id, zone, seed = 1, prefix = 'rosemaryquay/', clockOriginMs = 0,
+		id, zone, seed = 1, prefix = 'rosemaryquay/', clockOriginMs = 0, soleHolder = false,
 	} = options;
 	return {
 		id,
@@ -28,7 +30,7 @@
 		tasks: {
 			byId: new Map(), attempts: new Map(), shuttingDown: false, shutdownReported: false,
 		},
-		limits: {running: new Map()},
+		limits: createLimits(prefix, {soleHolder}),
 		shares: {pools: new Map(), runTimes: new Map(), zones: new Map()},
 		placement: {
 			workers: new Map(), byPool: new Map(), subsets: new Map(), ejected: new Map(),
--- a/packages/core/src/node/reduce.ts
+++ b/packages/core/src/node/reduce.ts
@@ -12,6 +12,12 @@
 import {receiveLease} from '../membership/receive-lease.js';
 import {receiveMemberListing} from '../membership/receive-member-listing.js';
 import {receiveMemberReport} from '../membership/receive-member-report.js';
+import {observeMembership} from '../limits/observe-membership.js';
+import {observeMembers} from '../limits/observe-members.js';
+import {observeTime} from '../limits/observe-time.js';
+import {receivePortions} from '../limits/receive-portions.js';
+import {requestPortion} from '../limits/request-portion.js';
+import {syncPortions} from '../limits/sync-portions.js';
 import {receiveMessage} from '../membership/receive-message.js';
 import {recordPeers} from '../membership/record-peers.js';
 import {sendSummary} from '../membership/send-summary.js';
@@ -25,6 +31,7 @@
 import {admitRequest} from '../tasks/admit-request.js';
 import {beginShutdown} from '../tasks/begin-shutdown.js';
 import {cancelRequest} from '../tasks/cancel-request.js';
+import {dispatchPool} from '../tasks/dispatch-pool.js';
 import {finishAttempt} from '../tasks/finish-attempt.js';
 import {tickTasks} from '../tasks/tick-tasks.js';
 import {type Effect} from './effect.js';
@@ -38,6 +45,7 @@
 	catalogue: finishCatalogueTransaction,
 	member: finishRegistration,
 	claim: resolveClaims,
+	portion: (node, event) => [...receivePortions(node, event), ...[...node.shares.pools.keys()].flatMap(pool => dispatchPool(node, pool, event.at))],
 };
 
 const listingHandlers: Partial<Record<Purpose, Handler<'store-listed'>>> = {
@@ -61,7 +69,7 @@
 
 /** Handlers of each event, run in order. */
 const handlers: {readonly [Type in Event['type']]: ReadonlyArray<Handler<Type>>} = {
-	'request-arrived': [admitRequest],
+	'request-arrived': [admitRequest, requestPortion],
 	'request-cancelled': [cancelRequest],
 	'attempt-finished': [finishAttempt],
 	'catalogue-loaded': [loadCatalogue],
@@ -69,14 +77,15 @@
 	'store-transacted': [(node, event) => transactionHandlers[event.purpose]?.(node, event) ?? []],
 	'store-listed': [(node, event) => listingHandlers[event.purpose]?.(node, event) ?? [], refreshPlacement],
 	'store-watched': [(node, event) => watchHandlers[event.purpose]?.(node, event) ?? [], refreshPlacement],
-	'store-leased': [(node, event) => leaseHandlers[event.purpose]?.(node, event) ?? []],
+	'store-leased': [(node, event) => leaseHandlers[event.purpose]?.(node, event) ?? [], observeMembership],
 	'process-started': [startCatalogue, startMembership],
 	'edit-requested': [editCatalogue],
 	'instances-listed': [recordInstances],
 	'usage-reported': [recordUsage],
+	'members-observed': [observeMembers],
 	'peers-listed': [recordPeers, updateSubsets],
 	'peer-received': [receiveMessage],
-	tick: [tickCatalogue, tickMembership, tickClaims, releaseRetries, tickTasks, preemptBulk, sendSummary],
+	tick: [tickCatalogue, tickMembership, observeMembership, tickClaims, releaseRetries, tickTasks, preemptBulk, syncPortions, sendSummary],
 	'shutdown-requested': [beginShutdown],
 };
 
@@ -91,6 +100,7 @@
  * for (const effect of reduce(node, event)) perform(effect);
  */
 export function reduce(node: Node, event: Event): Effect[] {
+	observeTime(node, event.at);
 	const effects: Effect[] = [];
 	for (const handler of handlers[event.type] as ReadonlyArray<Handler<Event['type']>>) {
 		for (const effect of handler(node, event)) {
--- a/packages/core/src/shares/shares.test.ts
+++ b/packages/core/src/shares/shares.test.ts
@@ -40,7 +40,7 @@
 
 function createTestNode(options: Options = {}): Node {
 	const {id = 'entry-1', zones = ['zone-a']} = options;
-	const node = createNode({id, zone: 'zone-a'});
+	const node = createNode({id, zone: 'zone-a', soleHolder: true});
 	apply(node, {type: 'catalogue-loaded', at: 0, snapshot: createSnapshot(createCatalogue(options), 1)});
 	apply(node, {
 		type: 'instances-listed', at: 0, instances: zones.map(zone => ({
--- a/packages/core/src/tasks/tick-tasks.ts
+++ b/packages/core/src/tasks/tick-tasks.ts
@@ -1,6 +1,7 @@
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node, type Task} from '../node/node.js';
+import {hasReturnedPortions} from '../limits/has-returned-portions.js';
 import {dispatchPool} from './dispatch-pool.js';
 import {endAttempt} from './end-attempt.js';
 import {endTask} from './end-task.js';
@@ -51,7 +52,8 @@
 		effects.push(...dispatchPool(node, pool, event.at));
 	}
 
-	if (node.tasks.shuttingDown && !node.tasks.shutdownReported && node.tasks.byId.size === 0 && areClaimsWritten(node, event.at)) {
+	const isIdle = node.tasks.byId.size === 0 && areClaimsWritten(node, event.at) && hasReturnedPortions(node, event.at);
+	if (node.tasks.shuttingDown && !node.tasks.shutdownReported && isIdle) {
 		node.tasks.shutdownReported = true;
 		effects.push({type: 'shutdown-finished'});
 	}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,6 +6,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {LRUCache} from 'lru-cache';
 import {taskLeaseTtlMs, tickIntervalMs, usageReadIntervalMs} from '@rosemaryquay/core/constants';
+import {mayUsePortions} from '@rosemaryquay/core/limits/may-use-portions';
 import {createNode} from '@rosemaryquay/core/node/create-node';
 import {type Effect} from '@rosemaryquay/core/node/effect';
 import {type Event} from '@rosemaryquay/core/node/event';
@@ -267,6 +268,10 @@
 	}
 
 	async #renewLeases(): Promise<void> {
+		if (!mayUsePortions(this.#node, this.#host.now())) {
+			return;
+		}
+
 		const addresses = new Set([...this.#host.flights.values()].map(flight => flight.address));
 		await Promise.all([...addresses].map(async address => this.#host.workers.renewLease(address)));
 	}
--- a/packages/measure/src/experiments.ts
+++ b/packages/measure/src/experiments.ts
@@ -13,6 +13,7 @@
 import {rollingRestart} from './experiments/rolling-restart.js';
 import {urgentStart} from './experiments/urgent-start.js';
 import {zoneWithdrawal} from './experiments/zone-withdrawal.js';
+import {upperLimit} from './experiments/upper-limit.js';
 
 export const experiments: Readonly<Record<string, Experiment>> = {
 	'at-most-once': atMostOnce,
@@ -26,4 +27,5 @@
 	'rolling-restart': rollingRestart,
 	'urgent-start': urgentStart,
 	'zone-withdrawal': zoneWithdrawal,
+	'upper-limit': upperLimit,
 };
--- a/packages/measure/src/experiments/decision-cost.ts
+++ b/packages/measure/src/experiments/decision-cost.ts
@@ -58,7 +58,9 @@
 		this.#pools = pools;
 		this.#teams = teams;
 		this.#random = xoroshiro128plus(seed);
-		this.#node = createNode({id: 'entry-1', zone: 'zone-0', seed});
+		this.#node = createNode({
+			id: 'entry-1', zone: 'zone-0', seed, soleHolder: true,
+		});
 		const instances: ListedInstance[] = Array.from({length: workers}, (_, index) => ({
 			id: `worker-${index}`,
 			address: `http://127.0.0.1:1/${index}`,
--- a/packages/measure/src/pump.ts
+++ b/packages/measure/src/pump.ts
@@ -7,6 +7,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type EditResult} from '@rosemaryquay/core/catalogue/catalogue-state';
 import {taskLeaseTtlMs, tickIntervalMs} from '@rosemaryquay/core/constants';
+import {mayUsePortions} from '@rosemaryquay/core/limits/may-use-portions';
 import {type Effect, type EffectOf} from '@rosemaryquay/core/node/effect';
 import {type AttemptOutcome, type Event} from '@rosemaryquay/core/node/event';
 import {type Node} from '@rosemaryquay/core/node/node';
@@ -34,6 +35,10 @@
 	readonly delayMs?: number;
 	/** Probability that an answer is lost after the write took effect. */
 	readonly loseAnswers?: number;
+	/** Probability that an answer comes twice. */
+	readonly duplicateAnswers?: number;
+	/** Probability that an answer comes after later ones. */
+	readonly lateAnswers?: number;
 };
 
 /** Behaviour of messages on their way, as probabilities. */
@@ -68,6 +73,11 @@
 
 const throttledSpeed = 0.25;
 const defaultCheckpointMs = 50;
+/** Time after which the store's client gives up a call, as in `EtcdStore`. */
+const storeTimeoutMs = 2000;
+
+/** Delay of a late answer; the node has given up the call by then. */
+const lateAnswerMs = 6000;
 
 type Item = {readonly at: number; readonly order: number; readonly run: () => void};
 
@@ -145,6 +155,9 @@
 	},
 };
 
+/** Renewals of a task lease within its time to live, as in the daemon. */
+const renewalsPerLease = 3;
+
 const defaultDelivery: Delivery = {
 	delayMs: 1, jitterMs: 1, drop: 0, duplicate: 0,
 };
@@ -163,22 +176,28 @@
 	readonly storeDriver = new StoreDriver(this);
 	readonly workerDelayMs: number;
 	readonly nodes = new Map<string, Node>();
+	/** Nodes that cannot reach the store. */
+	readonly partitioned = new Set<string>();
 	readonly #random;
 	readonly #worker: WorkerModel;
+	readonly #leases: 'granted' | 'managed';
 	readonly #queue = new Heap<Item>((a, b) => a.at - b.at || a.order - b.order);
 	readonly #running = new Map<string, Running>();
 	readonly #busy = new Map<string, number>();
 	/** Run time left of checkpointed attempts. */
 	readonly #checkpoints = new Map<string, number>();
 	readonly #pausedUntil = new Map<string, number>();
+	readonly #leasesRenewedAt = new Map<string, number>();
 	readonly #stopped = new Set<string>();
 	#order = 0;
 
-	constructor(options: {nodes: readonly Node[]; seed: number; worker: WorkerModel; store?: StoreModel; delivery?: Partial<Delivery>}) {
-		const {nodes, seed, worker, store = new StoreModel(), delivery = {}} = options;
+	/** With `leases: 'granted'` every node holds a member lease for ever; otherwise the caller feeds the leases. */
+	constructor(options: {nodes: readonly Node[]; leases?: 'granted' | 'managed'; seed: number; worker: WorkerModel; store?: StoreModel; delivery?: Partial<Delivery>}) {
+		const {nodes, seed, worker, leases = 'granted', store = new StoreModel(), delivery = {}} = options;
 		this.store = store;
 		this.delivery = {...defaultDelivery, ...delivery};
 		this.#worker = worker;
+		this.#leases = leases;
 		this.workerDelayMs = defaultDelivery.delayMs;
 		this.#random = xoroshiro128plus(seed);
 		for (const node of nodes) {
@@ -190,12 +209,17 @@
 	addNode(node: Node): void {
 		this.nodes.set(node.id, node);
 		this.#stopped.delete(node.id);
+		if (this.#leases === 'granted') {
+			this.#grantLeases();
+		}
+
 		const tick = (): void => {
 			if (this.nodes.get(node.id) !== node || this.#stopped.has(node.id)) {
 				return;
 			}
 
 			this.deliver(node.id, {type: 'tick'});
+			this.#renewTaskLeases(node);
 			this.after(tickIntervalMs, tick);
 		};
 
@@ -249,6 +273,13 @@
 	/** Runs a store call and delivers its outcome. */
 	callStore<Value>(nodeId: string, call: () => Value, toEvent: (outcome: CallOutcome<Value>) => UntimedEvent): void {
 		this.storeCalls += 1;
+		if (this.partitioned.has(nodeId)) {
+			this.after(storeTimeoutMs, () => {
+				this.deliver(nodeId, toEvent({ok: false, reason: 'outcome-unknown'}));
+			});
+			return;
+		}
+
 		this.storeDriver.update();
 		this.after(this.networkDelay() + (this.storeCondition.delayMs ?? 0), () => {
 			this.storeDriver.update();
@@ -261,15 +292,28 @@
 
 			const value = call();
 			const lost = this.chance(this.storeCondition.loseAnswers ?? 0);
-			this.after(this.networkDelay(), () => {
-				this.deliver(nodeId, toEvent(lost ? {ok: false, reason: 'outcome-unknown'} : {ok: true, value}));
-			});
+			const lateMs = this.chance(this.storeCondition.lateAnswers ?? 0) ? lateAnswerMs : 0;
+			const copies = this.chance(this.storeCondition.duplicateAnswers ?? 0) ? 2 : 1;
+			for (let copy = 0; copy < copies; copy++) {
+				this.after(this.networkDelay() + lateMs, () => {
+					this.deliver(nodeId, toEvent(lost ? {ok: false, reason: 'outcome-unknown'} : {ok: true, value}));
+				});
+			}
 		});
 	}
 
 	/** Whether calls of a node reach the store. */
-	reachesStore(_nodeId: string): boolean {
-		return this.storeCondition.down !== true;
+	reachesStore(nodeId: string): boolean {
+		return this.storeCondition.down !== true && !this.partitioned.has(nodeId);
+	}
+
+	isStopped(nodeId: string): boolean {
+		return this.#stopped.has(nodeId);
+	}
+
+	/** Whether a node's process takes no events at the moment. */
+	isHalted(nodeId: string): boolean {
+		return this.#stopped.has(nodeId) || (this.#pausedUntil.get(nodeId) ?? 0) > this.now;
 	}
 
 	pause(nodeId: string, untilMs: number): void {
@@ -279,13 +323,6 @@
 	/** Ends a node at once; workers stop its tasks when their leases lapse. */
 	stop(nodeId: string): void {
 		this.#stopped.add(nodeId);
-		for (const [attemptId, running] of this.#running) {
-			if (running.node === nodeId) {
-				this.after(taskLeaseTtlMs, () => {
-					this.endAttempt(nodeId, attemptId, {type: 'lost', cause: 'connection-lost'});
-				});
-			}
-		}
 	}
 
 	startAttempt(node: Node, effect: EffectOf<'start-attempt'>): void {
@@ -320,6 +357,7 @@
 			this.trace.push({
 				type: 'started', at: this.now, node: node.id, taskId, attemptId, workerId, team,
 			});
+			this.#watchTaskLease(node.id, attemptId, this.now);
 			this.#scheduleEnd(attemptId);
 		});
 	}
@@ -422,6 +460,39 @@
 		});
 	}
 
+	/** Renews the task leases of a node as often as the daemon does, while it may use its portions. */
+	#renewTaskLeases(node: Node): void {
+		const due = this.now - (this.#leasesRenewedAt.get(node.id) ?? 0) >= taskLeaseTtlMs / renewalsPerLease;
+		if (due && !this.isHalted(node.id) && mayUsePortions(node, this.now)) {
+			this.#leasesRenewedAt.set(node.id, this.now);
+		}
+	}
+
+	/** Ends a task when its lease lapses at the worker. */
+	#watchTaskLease(nodeId: string, attemptId: string, startedAt: number): void {
+		const lapsesAt = Math.max(startedAt, this.#leasesRenewedAt.get(nodeId) ?? 0) + taskLeaseTtlMs;
+		this.at(lapsesAt, () => {
+			if (!this.#running.has(attemptId)) {
+				return;
+			}
+
+			if ((this.#leasesRenewedAt.get(nodeId) ?? 0) + taskLeaseTtlMs > this.now) {
+				this.#watchTaskLease(nodeId, attemptId, startedAt);
+			} else {
+				this.endAttempt(nodeId, attemptId, {type: 'lost', cause: 'connection-lost'});
+			}
+		});
+	}
+
+	/** Stands in for the membership: every node sees every other, and no lease ever ends. */
+	#grantLeases(): void {
+		const registration = 'granted';
+		const present = [...this.nodes.keys()].map(id => ({id, registration}));
+		for (const {id} of present) {
+			this.deliver(id, {type: 'members-observed', lease: {registration, validUntil: Number.POSITIVE_INFINITY}, present});
+		}
+	}
+
 	#report(nodeId: string, attemptId: string, outcome: AttemptOutcome): void {
 		this.after(this.workerDelayMs, () => {
 			this.deliver(nodeId, {type: 'attempt-finished', attemptId, outcome});
--- a/packages/testing/src/request-fixture.ts
+++ b/packages/testing/src/request-fixture.ts
@@ -82,7 +82,7 @@
 		const {id = 'entry-1', store = new StoreModel(), workers = 4, running = 10, peers = []} = options;
 		this.store = store;
 		this.#running = running;
-		this.node = createNode({id, zone: 'zone-a'});
+		this.node = createNode({id, zone: 'zone-a', soleHolder: true});
 		this.#instances = Array.from({length: workers}, (_, index) => ({
 			id: `w-${index}`, address: `http://127.0.0.1:1/${index}`, zone: index % 2 === 0 ? 'zone-a' : 'zone-b', rack: 'r-1', pool: 'web', state: 'live',
 		}));
