Leave a part of large budgets to failures that the list does not show yet

Cause: at the design size, 785 of about 17,000 planned steps began while a failure younger than the list's lag had used up the budget. listReserve keeps one instance of a budget of 30 free for them. The experiment now ticks every 5 s at that size, as at the others. Weights of plans come from the settings; the two examples have different ones.

--- a/packages/core/src/maintenance/choose-steps.ts
+++ b/packages/core/src/maintenance/choose-steps.ts
@@ -70,6 +70,8 @@
 
 	const {firstWave} = planner.progress;
 	const offPeak = isOffPeak(choice, rules);
+	const reserve = Number.isFinite(rules.unavailable) ? Math.floor(rules.unavailable * planner.settings.listReserve) : 0;
+	const limit = Math.min(plan.concurrency, available.allowance - reserve);
 	let finished = true;
 	for (const [index, wave] of plan.waves.entries()) {
 		if (index < (firstWave.get(pool) ?? 0)) {
@@ -87,11 +89,11 @@
 			}
 
 			finished = false;
-			if (!offPeak || available.unavailable >= Math.min(available.allowance, plan.concurrency)) {
+			if (!offPeak || available.unavailable >= limit) {
 				return false;
 			}
 
-			beginCounted(choice, instance, {step: 'maintain', limit: plan.concurrency});
+			beginCounted(choice, instance, {step: 'maintain', limit});
 		}
 	}
 
--- a/packages/core/src/maintenance/create-planner.ts
+++ b/packages/core/src/maintenance/create-planner.ts
@@ -3,6 +3,8 @@
 const defaults: PlannerSettings = {
 	leaseTtlMs: 10_000,
 	listLimitMs: 30_000,
+	// One instance of a budget of 30; smaller budgets could not spare one.
+	listReserve: 1 / 30,
 	drainMs: 600_000,
 	rebootMs: 900_000,
 	stepMs: 1_200_000,
--- a/packages/core/src/maintenance/planner.ts
+++ b/packages/core/src/maintenance/planner.ts
@@ -22,6 +22,8 @@
 	readonly leaseTtlMs: number;
 	/** Age of the instance list from which on every instance counts as unavailable. */
 	readonly listLimitMs: number;
+	/** Part of a budget, rounded down, that waves leave to failures which the lagging list does not show yet. */
+	readonly listReserve: number;
 	/** Time that running work has to finish once an instance drains. */
 	readonly drainMs: number;
 	/** Time after which a reboot counts as failed. */
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -3,6 +3,7 @@
  */
 import {z} from 'zod';
 import {nameSchema} from '../catalogue/schema.js';
+import {maintenanceSettingsSchema} from '../maintenance/settings.js';
 
 const addressSchema = z.strictObject({
 	host: z.union([z.ipv4(), z.ipv6()]),
@@ -31,6 +32,7 @@
 		host: z.union([z.ipv4(), z.ipv6()]),
 		port: z.int().min(1).max(65_535),
 	}).optional(),
+	maintenance: maintenanceSettingsSchema.prefault({}),
 	log: z.strictObject({
 		level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 	}).prefault({}),
--- a/packages/measure/src/experiments/maintenance.ts
+++ b/packages/measure/src/experiments/maintenance.ts
@@ -4,14 +4,12 @@
 import {checkBound} from '../check-bound.js';
 import {type Experiment} from '../experiment.js';
 import {createFleet, createUserFleet} from '../maintenance/create-fleet.js';
+import {loadWeights} from '../maintenance/load-weights.js';
 import {rollOut, type RollOut} from '../maintenance/roll-out.js';
 import {listUsers, loadUser} from '../load-user.js';
 
-/** Example weights: the first counts roll-out time and moves most, the second buffer. */
-const weights = {
-	time: {buffer: 1, rollOutTime: 20, moves: 20},
-	buffer: {buffer: 4, rollOutTime: 1, moves: 1},
-};
+/** Weights at the design size. */
+const weights = {buffer: 1, rollOutTime: 20, moves: 20};
 
 const largest = {
 	instances: 17_000, pools: 22, zones: 25, failuresPerDay: 280, replacementsPerDay: 4900,
@@ -37,12 +35,11 @@
 	summary: 'Roll-outs at both users\' sizes and the design size: buffer, time, moves and budgets',
 	run({seed}) {
 		const runs: Array<[string, RollOut]> = [];
-		for (const [index, name] of listUsers().entries()) {
-			const fleet = createUserFleet(loadUser(name));
-			runs.push([name, rollOut(fleet, {seed, weights: index === 0 ? weights.buffer : weights.time})]);
+		for (const name of listUsers()) {
+			runs.push([name, rollOut(createUserFleet(loadUser(name)), {seed, weights: loadWeights(name)})]);
 		}
 
-		runs.push(['design size', rollOut(createFleet(largest), {seed, weights: weights.time, ...largest})]);
+		runs.push(['design size', rollOut(createFleet(largest), {seed, weights, ...largest})]);
 		return {
 			bounds: runs.flatMap(([name, result]) => listBounds(name, result)),
 			baselines: runs.flatMap(([name, {baselines, outHours}]) => [
--- a/packages/measure/src/maintenance/roll-out.ts
+++ b/packages/measure/src/maintenance/roll-out.ts
@@ -217,7 +217,7 @@
 			pollMs: 5000, stepMs, retireMs: 600_000, listLimitMs: 120_000, leaseTtlMs: 60_000,
 		},
 		// Fewer events keep the design size within the time of an experiment.
-		...(instances.length > largeFleet && {tickMs: 10_000, listMs: 30_000}),
+		...(instances.length > largeFleet && {listMs: 30_000}),
 	});
 	pump.addPlanner('planner-1');
 	// The fleet is adopted in the hour before the roll-out.
