--- a/packages/core/src/maintenance/create-plan.ts
+++ b/packages/core/src/maintenance/create-plan.ts
@@ -132,10 +132,11 @@
 	return startsAt === undefined || at === undefined ? undefined : {startsAt, endsAt: at};
 }
 
-function compareLocation([idA, a]: readonly [string, InstanceRecord], [idB, b]: readonly [string, InstanceRecord]): number {
-	const keyA = `${a.zone}/${a.rack}/${idA}`;
-	const keyB = `${b.zone}/${b.rack}/${idB}`;
-	return keyA < keyB ? -1 : (keyA > keyB ? 1 : 0);
+/** Sorts by availability zone, rack and identifier; each key is built once, because building it in comparisons took most of a plan's time. */
+function sortByLocation(members: ReadonlyArray<readonly [string, InstanceRecord]>): Array<readonly [string, InstanceRecord]> {
+	const keyed = members.map(entry => ({key: `${entry[1].zone}/${entry[1].rack}/${entry[0]}`, entry}));
+	keyed.sort((a, b) => (a.key < b.key ? -1 : 1));
+	return keyed.map(({entry}) => entry);
 }
 
 /**
@@ -178,7 +179,7 @@
 		const choice = chooseConcurrency(list.length, {
 			budget: Math.min(list.length, rules.unavailable), spares: available, weights, stepHours,
 		});
-		const waves = choice === undefined ? [] : packWaves(list.toSorted(compareLocation), choice.concurrency);
+		const waves = choice === undefined ? [] : packWaves(sortByLocation(list), choice.concurrency);
 		const count = choice === undefined ? 0 : Math.ceil(list.length / choice.concurrency);
 		const times = forecastEnd(rules, {utcMs, stepMs, waves: count});
 		if (choice === undefined || times === undefined) {
