--- a/packages/measure/src/experiments/at-most-once.ts
+++ b/packages/measure/src/experiments/at-most-once.ts
@@ -9,6 +9,7 @@
 import {createUserNodes} from '../create-user-nodes.js';
 import {type Experiment} from '../experiment.js';
 import {listUsers, loadUser, type User} from '../load-user.js';
+import {measureClaimLoad} from '../measure-claim-load.js';
 import {Pump} from '../pump.js';
 import {startNode} from '../start-node.js';
 
@@ -18,6 +19,12 @@
 const endMs = 45_000;
 const deadlineMs = 8000;
 const serviceMs = {min: 20, max: 400};
+/** Requests with idempotency keys a second over all instances. */
+const claimsPerSecond = 1000;
+
+/** The store handles several hundred writes a second for all callers. */
+const storeCallsLimit = 300;
+
 const answer = {status: 200, contentType: 'application/json', body: 'e30='};
 
 /** Faults act between these times. */
@@ -224,17 +231,20 @@
 			}
 		}
 
+		const loads = users.map(user => ({user: user.name, ...measureClaimLoad(user, {requestsPerSecond: claimsPerSecond, seed})}));
+		const storeCalls = Math.max(...loads.map(load => load.storeCallsPerSecond));
 		const neverRunWithoutFaults = users.reduce((sum, user) => sum + (cases[`none, ${user.name}`]?.neverRun ?? 0), 0);
 		return {
 			bounds: [
 				checkBound('double runs', total.doubleRuns, {comparison: 'atMost', limit: 0, unit: 'runs'}),
 				checkBound('false "not run"', total.falseNotRun, {comparison: 'atMost', limit: 0, unit: 'refusals'}),
 				checkBound('keys never run without faults', neverRunWithoutFaults, {comparison: 'atMost', limit: 0, unit: 'keys'}),
+				checkBound(`store calls a second at ${claimsPerSecond} claims a second`, storeCalls, {comparison: 'atMost', limit: storeCallsLimit, unit: 'calls/s'}),
 			],
 			baselines: [{
 				name: 'without claims, a quarter of the runs', measure: 'double runs', unit: 'runs', value: baseline.doubleRuns,
 			}],
-			details: {total, cases},
+			details: {total, cases, loads},
 		};
 	},
 };
