Settle claims whose writes had unknown outcomes; update worker lists in place

Cause: a repeatable request that stopped waiting for its claim ran without settling the claim that a lost write had recorded, so its second submission elsewhere got "outcome unknown" instead of the answer. Every instance list with a changed state, and every list of members, sorted all workers anew.

--- a/packages/core/src/deduplication/end-claim.ts
+++ b/packages/core/src/deduplication/end-claim.ts
@@ -42,12 +42,6 @@
 	return {type: 'settle', record: {...record, state: ending.type, ...(small && {answer})}};
 }
 
-function mayBeRecorded(node: Node, task: Task, claim: string): boolean {
-	const {pending, batch} = node.deduplication;
-	const waiting = pending.get(claim);
-	return task.claimed || (waiting?.sent ?? 0) > 0 || (batch?.results.some(({update}) => update.record.claim === claim) ?? false);
-}
-
 /**
  * Records how the request of a claim ended. A request that did not run releases its claim, so that
  * its caller can submit it again.
@@ -71,7 +65,7 @@
 		keepAnswer(node, record, ending.answer, at + claimRetentionMs);
 	}
 
-	if (!mayBeRecorded(node, task, record.claim)) {
+	if (!task.claimed) {
 		pending.delete(record.claim);
 		return;
 	}
--- a/packages/core/src/deduplication/flush-claims.ts
+++ b/packages/core/src/deduplication/flush-claims.ts
@@ -143,6 +143,10 @@
 
 	for (const {update} of results) {
 		update.sent += 1;
+		const task = update.type === 'claim' ? node.tasks.byId.get(update.taskId) : undefined;
+		if (task !== undefined) {
+			task.claimed = true;
+		}
 	}
 
 	const storeKeys = [...taken.keys()];
--- a/packages/core/src/deduplication/resolve-claims.ts
+++ b/packages/core/src/deduplication/resolve-claims.ts
@@ -30,10 +30,7 @@
 }
 
 const verdictHandlers: {readonly [Type in Verdict['type']]: (node: Node, task: Task, verdict: Extract<Verdict, {type: Type}>, at: number) => Effect[]} = {
-	applied(node, task, _verdict, at) {
-		task.claimed = true;
-		return queueTask(node, task, at);
-	},
+	applied: (node, task, _verdict, at) => queueTask(node, task, at),
 	blocked: (node, task, {by}, at) => answerFromClaim(node, task, by, at),
 	rejected: (node, task, _verdict, at) => endTask(node, task, {type: 'refused', reason: 'claim-unavailable'}, at),
 };
@@ -66,12 +63,14 @@
 	}
 }
 
+/** The write had no effect; an earlier one of the same claim may have had one. */
 function giveUp(node: Node, update: ClaimUpdate, at: number): Effect[] {
 	const task = findClaiming(node, update);
 	if (task === undefined) {
 		return [];
 	}
 
+	task.claimed = update.sent > 1;
 	return task.repeatable ? queueTask(node, task, at) : endTask(node, task, {type: 'refused', reason: 'claim-unavailable'}, at);
 }
 
@@ -87,11 +86,6 @@
 	const counter = reason === 'outcome-unknown' ? 'claim.outcome-unknown' : 'claim.unavailable';
 	const effects: Effect[] = [{type: 'count', counter}];
 	for (const update of abandoned) {
-		// An earlier write of this claim may have taken effect: it stays pending, so that its ending releases it.
-		if (findClaiming(node, update) !== undefined && update.sent > 1) {
-			node.deduplication.pending.set(update.record.claim, update);
-		}
-
 		effects.push(...giveUp(node, update, at));
 	}
 
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -29,7 +29,7 @@
 		limits: {running: new Map()},
 		shares: {pools: new Map()},
 		placement: {
-			workers: new Map(), byPool: new Map(), subsets: new Map(), ejected: new Map(), withdrawn: new Set(), restoredAt: new Map(),
+			workers: new Map(), byPool: new Map(), subsets: new Map(), members: [], ejected: new Map(), withdrawn: new Set(), restoredAt: new Map(),
 		},
 		retries: {
 			tokens: initialRetryTokens, waiting: new Heap((a, b) => a.at - b.at || a.order - b.order), order: 0, failures: new Map(),
--- a/packages/core/src/node/node.ts
+++ b/packages/core/src/node/node.ts
@@ -31,7 +31,7 @@
 	attemptsUnstarted: number;
 	/** An attempt may have run and not been answered. */
 	mayHaveRun: boolean;
-	/** The store holds its claim. */
+	/** The store may hold its claim: a write was sent, and not certainly without effect. */
 	claimed: boolean;
 	/** The caller has been refused or has gone; the running attempt keeps its slot until it ends. */
 	abandoned: boolean;
--- a/packages/core/src/node/reduce.ts
+++ b/packages/core/src/node/reduce.ts
@@ -6,9 +6,9 @@
 import {recordPeers} from '../membership/record-peers.js';
 import {sendSummary} from '../membership/send-summary.js';
 import {recordInstances} from '../placement/record-instances.js';
+import {recordMembers} from '../placement/record-members.js';
 import {recordUsage} from '../placement/record-usage.js';
 import {recordZones} from '../placement/record-zones.js';
-import {updateSubsets} from '../placement/update-subsets.js';
 import {releaseRetries} from '../retries/release-retries.js';
 import {admitRequest} from '../tasks/admit-request.js';
 import {beginShutdown} from '../tasks/begin-shutdown.js';
@@ -39,7 +39,7 @@
 	'store-listed': [(node, event) => listingHandlers[event.purpose]?.(node, event) ?? []],
 	'instances-listed': [recordInstances],
 	'usage-reported': [recordUsage],
-	'peers-listed': [recordPeers, updateSubsets],
+	'peers-listed': [recordPeers, recordMembers],
 	'peer-received': [receiveMessage],
 	tick: [tickClaims, releaseRetries, tickTasks, sendSummary],
 	'shutdown-requested': [beginShutdown],
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -41,6 +41,8 @@
 	/** Identifiers of the workers of each pool. */
 	readonly byPool: Map<string, string[]>;
 	readonly subsets: Map<string, Subset>;
+	/** All members, sorted, for which the subsets were chosen. */
+	members: readonly string[];
 	/** Ejected workers by pool; the one whose ejection was extended last comes last. */
 	readonly ejected: Map<string, Set<Worker>>;
 	/** Withdrawn availability zones, and when others were last restored. */
--- a/packages/core/src/placement/record-instances.ts
+++ b/packages/core/src/placement/record-instances.ts
@@ -5,13 +5,22 @@
 import {type Worker} from './placement.js';
 import {updateSubsets} from './update-subsets.js';
 
-function isSame(a: ListedInstance, b: ListedInstance | undefined): boolean {
-	return a.id === b?.id && a.state === b.state && a.pool === b.pool && a.address === b.address && a.zone === b.zone && a.rack === b.rack;
-}
+/** Subsets depend on identifiers, pools and availability zones alone; other changes need no sorting of all workers. */
+function updateInPlace(workers: ReadonlyMap<string, Worker>, instances: readonly ListedInstance[]): boolean {
+	if (workers.size !== instances.length) {
+		return false;
+	}
+
+	for (const instance of instances) {
+		const worker = workers.get(instance.id);
+		if (worker?.instance.pool !== instance.pool || worker.instance.zone !== instance.zone) {
+			return false;
+		}
+
+		worker.instance = instance;
+	}
 
-function isUnchanged(node: Node, instances: readonly ListedInstance[]): boolean {
-	return node.placement.workers.size === instances.length
-		&& instances.every(instance => isSame(instance, node.placement.workers.get(instance.id)?.instance));
+	return true;
 }
 
 /** A worker that vanished from the list keeps its count while tasks of this node run on it. */
@@ -35,7 +44,7 @@
  */
 export function recordInstances(node: Node, event: EventOf<'instances-listed'>): Effect[] {
 	const {workers, byPool} = node.placement;
-	if (isUnchanged(node, event.instances)) {
+	if (updateInPlace(workers, event.instances)) {
 		return [];
 	}
 
--- a/packages/core/src/placement/update-subsets.ts
+++ b/packages/core/src/placement/update-subsets.ts
@@ -26,7 +26,8 @@
  */
 export function updateSubsets(node: Node): Effect[] {
 	const {workers, byPool, subsets, ejected} = node.placement;
-	const members = [...node.membership.peers, node.id].toSorted();
+	// A node that is not listed yet takes its place among the members.
+	const members = [...new Set([...node.placement.members, node.id])].toSorted();
 	const position = members.indexOf(node.id);
 	subsets.clear();
 	ejected.clear();
--- a/packages/testing/src/requests/attempts.test.ts
+++ b/packages/testing/src/requests/attempts.test.ts
@@ -240,3 +240,27 @@
 	const later = fixture.arrive('r-2').find(effect => effect.type === 'start-attempt');
 	assert.ok(['w-0', 'w-2'].includes(later?.workerId ?? ''));
 });
+
+test('retries outside an availability zone that was withdrawn after the first attempt', () => {
+	const fixture = new RequestFixture();
+	const attemptId = attemptOf(fixture.arrive('r-1', {queue: 'mail'}));
+	fixture.withdraw(['zone-a']);
+	fixture.finish(attemptId, failed);
+	const retried = fixture.advance(300).find(effect => effect.type === 'start-attempt');
+	assert.equal(fixture.node.placement.workers.get(retried?.workerId ?? '')?.instance.zone, 'zone-b');
+});
+
+// Guards against workers that no instance sends to.
+test('covers all workers of a large pool with the subsets of all instances', () => {
+	const peers = Array.from({length: 12}, (_, index) => `entry-${index + 1}`);
+	const covered = new Set<string>();
+	for (const id of peers) {
+		const {own, other} = new RequestFixture({id, peers, workers: 1000}).node.placement.subsets.get('web') ?? {own: [], other: []};
+		assert.ok(own.length + other.length <= 200, `${own.length + other.length} workers`);
+		for (const worker of [...own, ...other]) {
+			covered.add(worker.instance.id);
+		}
+	}
+
+	assert.equal(covered.size, 1000);
+});
--- a/packages/testing/src/requests/claims.test.ts
+++ b/packages/testing/src/requests/claims.test.ts
@@ -148,3 +148,13 @@
 	fixture.advance(100);
 	assert.equal(describe(new RequestFixture({id: 'entry-2', store: fixture.store}).arrive('r-2', keyed)), 'claim-unavailable, not run');
 });
+
+test('records the ending of a request that ran while its claim was in flight', () => {
+	const fixture = new RequestFixture();
+	fixture.storeFaults.push(...Array.from({length: 100}, () => 'answer-lost' as const));
+	const effects = [...fixture.arrive('r-1', {...keyed, queue: 'mail'}), ...fixture.advance(5200)];
+	fixture.storeFaults.length = 0;
+	fixture.finish(attemptOf(effects), {type: 'succeeded', answer: small});
+	fixture.advance(3000);
+	assert.equal(describe(new RequestFixture({id: 'entry-2', store: fixture.store}).arrive('r-2', {...keyed, queue: 'mail'})), 'answer-recorded');
+});
