Keep one retry budget for each pool

Cause: one budget for a whole instance let a failing pool use up the retries of all others, so that a fault in one service lowered the success rate of the rest.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -104,10 +104,10 @@
 export const probesToReturn = 3;
 export const workerReturnMs = 10_000;
 
-/** Tokens that a successful request adds to the retry budget, its first content and its limit; a retry takes one. */
+/** Tokens that a successful request adds to the retry budget of its pool, the first content of a budget and its limit; a retry takes one. */
 export const retryTokensPerSuccess = 0.1;
-export const initialRetryTokens = 5;
-export const maximumRetryTokens = 50;
+export const initialRetryTokens = 1;
+export const maximumRetryTokens = 20;
 
 /** First and longest delay of a retry; each is shortened at random by up to half. */
 export const retryBackoffMs = 50;
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -2,7 +2,6 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {createSnapshot} from '../catalogue/create-snapshot.js';
 import {catalogueSchema} from '../catalogue/schema.js';
-import {initialRetryTokens} from '../constants.js';
 import {type Node} from './node.js';
 
 /**
@@ -32,7 +31,7 @@
 			workers: new Map(), byPool: new Map(), subsets: new Map(), members: [], ejected: new Map(), withdrawn: new Set(), restoredAt: new Map(),
 		},
 		retries: {
-			tokens: initialRetryTokens, waiting: new Heap((a, b) => a.at - b.at || a.order - b.order), order: 0, failures: new Map(),
+			tokens: new Map(), waiting: new Heap((a, b) => a.at - b.at || a.order - b.order), order: 0, failures: new Map(),
 		},
 		deduplication: {
 			prefix,
--- a/packages/core/src/retries/earn-retry.ts
+++ b/packages/core/src/retries/earn-retry.ts
@@ -1,13 +1,15 @@
-import {maximumRetryTokens, retryTokensPerSuccess} from '../constants.js';
+import {initialRetryTokens, maximumRetryTokens, retryTokensPerSuccess} from '../constants.js';
 import {type Node} from '../node/node.js';
 
 /**
- * Adds to the retry budget for a successful request.
+ * Adds to the retry budget of a pool for a successful request.
  *
  * @param node - the node, updated in place
+ * @param pool - name of the pool
  * @example
- * earnRetry(node);
+ * earnRetry(node, task.pool);
  */
-export function earnRetry(node: Node): void {
-	node.retries.tokens = Math.min(maximumRetryTokens, node.retries.tokens + retryTokensPerSuccess);
+export function earnRetry(node: Node, pool: string): void {
+	const {tokens} = node.retries;
+	tokens.set(pool, Math.min(maximumRetryTokens, (tokens.get(pool) ?? initialRetryTokens) + retryTokensPerSuccess));
 }
--- a/packages/core/src/retries/retries.ts
+++ b/packages/core/src/retries/retries.ts
@@ -19,8 +19,8 @@
 };
 
 export type Retries = {
-	/** Retries that may be made now. */
-	tokens: number;
+	/** Retries that may be made now, by pool, so that a failing pool does not use up the retries of others. */
+	readonly tokens: Map<string, number>;
 	readonly waiting: Heap<WaitingRetry>;
 	order: number;
 	/** Failures by queue and fingerprint, oldest first. */
--- a/packages/core/src/tasks/finish-attempt.ts
+++ b/packages/core/src/tasks/finish-attempt.ts
@@ -35,7 +35,7 @@
 
 const outcomeHandlers: {[Type in AttemptOutcome['type']]: OutcomeHandler<Type>} = {
 	succeeded(node, {task, attemptId, at}, {answer}) {
-		earnRetry(node);
+		earnRetry(node, task.pool);
 		forgetFailures(node, task);
 		return endTask(node, task, {type: 'answered', attemptId, ...(answer !== undefined && {answer})}, at);
 	},
--- a/packages/core/src/tasks/retry-task.ts
+++ b/packages/core/src/tasks/retry-task.ts
@@ -32,7 +32,7 @@
 		return endTask(node, task, {type: 'refused', reason: 'request-parked'}, at);
 	}
 
-	if (budgeted && !spendRetry(node)) {
+	if (budgeted && !spendRetry(node, task.pool)) {
 		return endTask(node, task, {type: 'refused', reason: 'retry-budget-exhausted'}, at);
 	}
 
--- a/packages/measure/src/experiments/retry-amplification.ts
+++ b/packages/measure/src/experiments/retry-amplification.ts
@@ -53,8 +53,10 @@
 			const nodeId = ids[uniformInt(random, 0, ids.length - 1)] ?? '';
 			const node = pump.nodes.get(nodeId);
 			if (!budgeted && node !== undefined) {
-				// The baseline has no budget: it is refilled before every request.
-				node.retries.tokens = unlimitedTokens;
+				// The baseline has no budget: it is refilled before every request, which experiments alone may do.
+				for (const pool of Object.keys(user.catalogue.pools)) {
+					node.retries.tokens.set(pool, unlimitedTokens);
+				}
 			}
 
 			pump.deliver(nodeId, {
--- a/packages/testing/src/requests/attempts.test.ts
+++ b/packages/testing/src/requests/attempts.test.ts
@@ -41,7 +41,7 @@
 for (const {name, queue, outcome, tokens = 5, expected} of retries) {
 	test(`retries or refuses: ${name}`, () => {
 		const fixture = new RequestFixture();
-		fixture.node.retries.tokens = tokens;
+		fixture.node.retries.tokens.set('web', tokens);
 		const attemptId = attemptOf(fixture.arrive('r-1', {queue}));
 		assert.equal(describe([...fixture.finish(attemptId, outcome), ...fixture.advance(300)]), expected);
 	});
