Give each process its own task lease holder

Cause: the holder of task leases was the instance name, so a restarted process renewed the leases of its predecessor and kept orphaned tasks running after the predecessor's portions had returned.

The two new tests cover a retry that would start after the deadline and claims kept after an outage.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,7 @@
 /**
  * The daemon: one reducer, the clients that perform its effects, and the HTTP server.
  */
+import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -114,7 +115,8 @@
 			exchanges: new Map(),
 			flights: new Map(),
 			answers: new Map(),
-			workers: new WorkerClient({holder: instance, answerBytes: limits.answerBytes}),
+			// A restarted process must not renew the task leases of its predecessor, whose portions return when they lapse.
+			workers: new WorkerClient({holder: `${instance}-${randomUUID()}`, answerBytes: limits.answerBytes}),
 			store: new EtcdStore({url: store.url}),
 			prefix: store.prefix,
 			metrics: this.metrics,
--- a/packages/testing/src/requests/attempts.test.ts
+++ b/packages/testing/src/requests/attempts.test.ts
@@ -264,3 +264,9 @@
 
 	assert.equal(covered.size, 1000);
 });
+
+test('does not wait for a retry that would start after the deadline', () => {
+	const fixture = new RequestFixture();
+	const attemptId = attemptOf(fixture.arrive('r-1', {queue: 'mail', deadlineMs: 20}));
+	assert.equal(describe(fixture.finish(attemptId, failed)), 'worker-failed, outcome unknown');
+});
--- a/packages/testing/src/requests/claims.test.ts
+++ b/packages/testing/src/requests/claims.test.ts
@@ -158,3 +158,16 @@
 	fixture.advance(3000);
 	assert.equal(describe(new RequestFixture({id: 'entry-2', store: fixture.store}).arrive('r-2', {...keyed, queue: 'mail'})), 'answer-recorded');
 });
+
+// Guards against memory and store writes that grow with the requests refused during an outage.
+test('keeps nothing of requests that were refused while the store was down', () => {
+	const fixture = new RequestFixture();
+	for (let index = 0; index < 20; index++) {
+		fixture.storeFaults.push('down', 'down');
+		fixture.arrive(`r-${index}`, {idempotencyKey: `k-${index}`});
+		fixture.advance(100);
+	}
+
+	const {pending, active} = fixture.node.deduplication;
+	assert.deepEqual([pending.size, active.size], [0, 0]);
+});
