--- a/packages/core/src/deduplication/answer-from-claim.ts
+++ b/packages/core/src/deduplication/answer-from-claim.ts
@@ -12,7 +12,7 @@
 		return false;
 	}
 
-	return node.membership.peers.includes(record.holder) || listSummaries(node, at).some(summary => summary.member === record.holder);
+	return node.placement.members.includes(record.holder) || listSummaries(node, at).some(summary => summary.member === record.holder);
 }
 
 function describeAnswer(node: Node, task: Task, record: ClaimRecord, at: number): TaskEnding {
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -4,7 +4,6 @@
 import {createSnapshot} from '../catalogue/create-snapshot.js';
 import {catalogueSchema} from '../catalogue/schema.js';
 import {createMembership} from '../membership/create-membership.js';
-import {initialRetryTokens} from '../constants.js';
 import {createLimits} from '../limits/create-limits.js';
 import {type Node} from './node.js';
 
@@ -33,10 +32,10 @@
 		limits: createLimits(prefix, {soleHolder}),
 		shares: {pools: new Map(), runTimes: new Map(), zones: new Map()},
 		placement: {
-			workers: new Map(), byPool: new Map(), subsets: new Map(), ejected: new Map(),
+			workers: new Map(), byPool: new Map(), subsets: new Map(), members: [], ejected: new Map(),
 		},
 		retries: {
-			tokens: initialRetryTokens, waiting: new Heap((a, b) => a.at - b.at || a.order - b.order), order: 0, failures: new Map(),
+			tokens: new Map(), waiting: new Heap((a, b) => a.at - b.at || a.order - b.order), order: 0, failures: new Map(),
 		},
 		deduplication: {
 			prefix,
--- a/packages/core/src/node/reduce.ts
+++ b/packages/core/src/node/reduce.ts
@@ -24,9 +24,9 @@
 import {startMembership} from '../membership/start-membership.js';
 import {tickMembership} from '../membership/tick-membership.js';
 import {recordInstances} from '../placement/record-instances.js';
+import {recordMembers} from '../placement/record-members.js';
 import {recordUsage} from '../placement/record-usage.js';
 import {preemptBulk} from '../shares/preempt-bulk.js';
-import {updateSubsets} from '../placement/update-subsets.js';
 import {releaseRetries} from '../retries/release-retries.js';
 import {admitRequest} from '../tasks/admit-request.js';
 import {beginShutdown} from '../tasks/begin-shutdown.js';
@@ -64,7 +64,7 @@
 
 /** The part of the workers that a node sends to depends on the members. */
 function refreshPlacement(node: Node, event: EventOf<'store-listed' | 'store-watched'>): Effect[] {
-	return event.purpose === 'member' ? updateSubsets(node) : [];
+	return event.purpose === 'member' ? recordMembers(node, {members: [...node.membership.records.keys()]}) : [];
 }
 
 /** Handlers of each event, run in order. */
@@ -83,7 +83,7 @@
 	'instances-listed': [recordInstances],
 	'usage-reported': [recordUsage],
 	'members-observed': [observeMembers],
-	'peers-listed': [recordPeers, updateSubsets],
+	'peers-listed': [recordPeers, recordMembers],
 	'peer-received': [receiveMessage],
 	tick: [tickCatalogue, tickMembership, observeMembership, tickClaims, releaseRetries, tickTasks, preemptBulk, syncPortions, sendSummary],
 	'shutdown-requested': [beginShutdown],
--- a/packages/core/src/placement/update-subsets.ts
+++ b/packages/core/src/placement/update-subsets.ts
@@ -26,9 +26,8 @@
  */
 export function updateSubsets(node: Node): Effect[] {
 	const {workers, byPool, subsets, ejected} = node.placement;
-	const {records, peers} = node.membership;
-	// Neighbours are only a part of the members once the records in the store are known.
-	const members = [...new Set([...(records.size > 0 ? records.keys() : peers), node.id])].toSorted();
+	// A node that is not listed yet takes its place among the members.
+	const members = [...new Set([...node.placement.members, node.id])].toSorted();
 	const position = members.indexOf(node.id);
 	subsets.clear();
 	ejected.clear();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,7 @@
 /**
  * The daemon: one reducer, the clients that perform its effects, and the HTTP server.
  */
+import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
