--- a/packages/core/src/limits/adopt-record.ts
+++ b/packages/core/src/limits/adopt-record.ts
@@ -20,6 +20,11 @@
 /** Starts the wait for holders that are not present and were not known to be absent. */
 function noteAbsentHolders(node: Node, record: LimitRecord): void {
 	const {present, absentSince} = node.limits.liveness;
+	// Without a member list, nobody is known to be absent.
+	if (present.size === 0) {
+		return;
+	}
+
 	for (const [holder, {registration}] of Object.entries(record.portions)) {
 		const name = describeRegistration(holder, registration);
 		if (holder !== node.id && present.get(holder) !== registration && !absentSince.has(name)) {
--- a/packages/core/src/limits/create-limits.ts
+++ b/packages/core/src/limits/create-limits.ts
@@ -13,6 +13,7 @@
 	return {
 		prefix,
 		running: new Map(),
+		released: undefined,
 		teams: new Map(),
 		liveness: {
 			registration: '',
--- a/packages/core/src/limits/limits.ts
+++ b/packages/core/src/limits/limits.ts
@@ -83,6 +83,8 @@
 	readonly prefix: string;
 	/** Running tasks of this node by team. */
 	readonly running: Map<string, number>;
+	/** Team whose slot was released by the event being handled. */
+	released: string | undefined;
 	readonly teams: Map<string, HeldPortion>;
 	readonly liveness: Liveness;
 	/** Time of the newest event. */
--- a/packages/core/src/limits/receive-portions.ts
+++ b/packages/core/src/limits/receive-portions.ts
@@ -6,7 +6,7 @@
 import {type Node} from '../node/node.js';
 import {type StoreFailure, type TransactionResult} from '../store/transaction.js';
 import {adoptRecord} from './adopt-record.js';
-import {type Call} from './limits.js';
+import {type Call, type CallItem} from './limits.js';
 import {noteLostWrite} from './note-lost-write.js';
 import {syncPortions} from './sync-portions.js';
 
@@ -28,22 +28,28 @@
 	return [count(written ? 'portion.resolved-written' : 'portion.resolved-not-written')];
 }
 
+/** Returns to the state before a write that had no effect. */
+function withdrawWrite(node: Node, {team, proposal, previous}: CallItem): void {
+	const held = node.limits.teams.get(team);
+	if (held === undefined || proposal === undefined) {
+		return;
+	}
+
+	if (previous === undefined) {
+		delete held.uncertain;
+	} else {
+		held.uncertain = previous;
+	}
+}
+
 function receiveFailure(node: Node, call: Call, failure: StoreFailure): Effect[] {
 	const {limits} = node;
 	limits.retryAt = limits.now + portionRetryMs + uniformInt(node.random, 0, portionRetryMs);
 	for (const item of call.items) {
-		const {team, proposal, previous} = item;
-		const held = limits.teams.get(team);
-		if (held === undefined || proposal === undefined) {
-			continue;
-		}
-
-		if (failure.reason !== 'unavailable') {
-			noteLostWrite(node, item);
-		} else if (previous === undefined) {
-			delete held.uncertain;
+		if (failure.reason === 'unavailable') {
+			withdrawWrite(node, item);
 		} else {
-			held.uncertain = previous;
+			noteLostWrite(node, item);
 		}
 	}
 
@@ -68,7 +74,12 @@
 	const {limits} = node;
 	const effects: Effect[] = [];
 	const entries = [...result.entries];
-	for (const {team, proposal} of call.items) {
+	for (const item of call.items) {
+		const {team, proposal} = item;
+		if (!result.succeeded) {
+			withdrawWrite(node, item);
+		}
+
 		const entry = result.succeeded && proposal !== undefined
 			? {value: JSON.stringify(proposal), modRevision: result.revision}
 			: entries.shift();
--- a/packages/core/src/limits/release-slot.ts
+++ b/packages/core/src/limits/release-slot.ts
@@ -17,4 +17,5 @@
 	}
 
 	node.limits.running.set(team, running - 1);
+	node.limits.released = team;
 }
--- /dev/null
+++ b/packages/core/src/limits/reuse-slot.ts
@@ -0,0 +1,27 @@
+import {type Effect} from '../node/effect.js';
+import {type Node} from '../node/node.js';
+import {dispatchPool} from '../tasks/dispatch-pool.js';
+import {hasHeadroom} from './has-headroom.js';
+
+/**
+ * Starts tasks of the team whose slot the event released, in any pool. The request lifecycle looks
+ * only at the pool of the ended task, so that a slot stayed unused until the next tick.
+ *
+ * @param node - the node, updated in place
+ * @param event - the event that may have released a slot, already handled
+ * @returns one `start-attempt` for each started task
+ * @example
+ * reuseSlot(node, {type: 'attempt-finished', at: 5, attemptId: 'a-1', outcome});
+ */
+export function reuseSlot(node: Node, event: {readonly at: number}): Effect[] {
+	const team = node.limits.released;
+	node.limits.released = undefined;
+	const effects: Effect[] = [];
+	for (const [pool, {byTeam}] of team === undefined || !hasHeadroom(node, team) ? [] : node.shares.pools) {
+		if (team !== undefined && (byTeam.get(team)?.length ?? 0) > 0) {
+			effects.push(...dispatchPool(node, pool, event.at));
+		}
+	}
+
+	return effects;
+}
--- a/packages/core/src/node/reduce.ts
+++ b/packages/core/src/node/reduce.ts
@@ -4,6 +4,7 @@
 import {observeTime} from '../limits/observe-time.js';
 import {receivePortions} from '../limits/receive-portions.js';
 import {requestPortion} from '../limits/request-portion.js';
+import {reuseSlot} from '../limits/reuse-slot.js';
 import {syncPortions} from '../limits/sync-portions.js';
 import {receiveMessage} from '../membership/receive-message.js';
 import {recordPeers} from '../membership/record-peers.js';
@@ -32,8 +33,8 @@
 /** Handlers of each event, run in order. */
 const handlers: {readonly [Type in Event['type']]: ReadonlyArray<Handler<Type>>} = {
 	'request-arrived': [admitRequest, requestPortion],
-	'request-cancelled': [cancelRequest],
-	'attempt-finished': [finishAttempt],
+	'request-cancelled': [cancelRequest, reuseSlot],
+	'attempt-finished': [finishAttempt, reuseSlot],
 	'catalogue-loaded': [loadCatalogue],
 	'configuration-confirmed': [confirmConfiguration],
 	'store-transacted': [(node, event) => transactionHandlers[event.purpose]?.(node, event) ?? []],
