--- a/packages/core/src/limits/cluster.test.ts
+++ b/packages/core/src/limits/cluster.test.ts
@@ -26,9 +26,9 @@
 				owner, organisation: 'main', share: 1, limits: {running}, keys: {first: {hash: 'a'.repeat(64)}},
 			},
 		},
-		pools: {web: {owner, limits: {slotsPerInstance: 1000}}},
-		services: {web: {owner, pool: 'web', limits: {unavailable: 0}}},
-		queues: {mail: {owner, service: 'web', limits: {deadlineMs: 600_000}}},
+		pools: {web: {owner, limits: {slotsPerInstance: 1000}}, bulk: {owner}},
+		services: {web: {owner, pool: 'web', limits: {unavailable: 0}}, bulk: {owner, pool: 'bulk', limits: {unavailable: 0}}},
+		queues: {mail: {owner, service: 'web', limits: {deadlineMs: 600_000}}, reports: {owner, service: 'bulk'}},
 		zones: {'zone-a': {owner, region: 'main'}},
 	});
 }
@@ -92,9 +92,9 @@
 		};
 		this.members.set(id, member);
 		this.send(member, {
-			type: 'instances-listed', at: this.now, instances: [{
-				id: 'w-1', address: 'http://127.0.0.1:1', zone: 'zone-a', rack: 'r-1', pool: 'web', state: 'live',
-			}],
+			type: 'instances-listed', at: this.now, instances: ['web', 'bulk'].map(pool => ({
+				id: pool, address: 'http://127.0.0.1:1', zone: 'zone-a', rack: 'r-1', pool, state: 'live',
+			})),
 		});
 		this.setLimit(this.limit, [id]);
 	}
@@ -113,12 +113,12 @@
 		}
 	}
 
-	request(id: string, count = 1): void {
+	request(id: string, count = 1, queue = 'mail'): void {
 		for (let index = 0; index < count; index++) {
 			this.#requests += 1;
 			this.send(this.member(id), {
 				type: 'request-arrived', at: this.now, arrival: {
-					id: `r-${this.#requests}`, queue: 'mail', keyHash: 'a'.repeat(64), bodyBytes: 0,
+					id: `r-${this.#requests}`, queue, keyHash: 'a'.repeat(64), bodyBytes: 0,
 				},
 			});
 		}
