--- a/packages/core/src/limits/create-limits.ts
+++ b/packages/core/src/limits/create-limits.ts
@@ -16,6 +16,7 @@
 		soleHolder,
 		prefix,
 		running: new Map(),
+		released: undefined,
 		teams: new Map(),
 		liveness: {
 			registration: '',
