Let a new process wait for a recorded member before it relies on the store

Cause: never-reverts showed new processes that started work under the old head of a store restored from an older state, and edits accepted on that old head.

A new process is current only after it has heard from one of the recorded members or 5 s have passed; a member that sees a lower revision announces its own; edits wait until the instance is fresh.

--- a/packages/core/src/catalogue/catalogue-state.ts
+++ b/packages/core/src/catalogue/catalogue-state.ts
@@ -59,6 +59,15 @@
 	mayBeStored: boolean;
 };
 
+/** A revision that the node lacks: since when it is known, when it was last shown, and when the store was listed for it. */
+export type Higher = {
+	readonly from: string;
+	readonly revision: number;
+	readonly seenAt: number;
+	readonly shownAt: number;
+	readonly listedAt: number;
+};
+
 export type CatalogueState = {
 	/** Prefix of the system's keys; absent until the process has started. */
 	prefix: string | undefined;
@@ -84,7 +93,7 @@
 	corrections: number;
 	/** Highest head revision whose catalogue was invalid. */
 	invalidRevision: number;
-	/** Who showed a higher revision than the accepted one, and since when; `store` for the head itself. */
-	higher: {readonly from: string; readonly revision: number; readonly seenAt: number} | undefined;
+	/** Who showed a higher revision than the accepted one; `store` for the head itself. */
+	higher: Higher | undefined;
 	readonly edits: Map<string, PendingEdit>;
 };
--- a/packages/core/src/catalogue/parse-stored-entry.ts
+++ b/packages/core/src/catalogue/parse-stored-entry.ts
@@ -62,14 +62,24 @@
 	return parsed?.success === true ? parsed.data.revision : 0;
 }
 
+/** Entries are immutable; a text is formatted once and compared with each listing. */
+const texts = new WeakMap<VersionedEntry, string>();
+
 /** Text of an entry's document. */
 export function formatEntry(entry: VersionedEntry): string {
+	const known = texts.get(entry);
+	if (known !== undefined) {
+		return known;
+	}
+
 	const {
 		revision, requestId, operator, earlier, value,
 	} = entry;
-	return JSON.stringify({
+	const text = JSON.stringify({
 		revision, requestId, operator, earlier, value,
 	});
+	texts.set(entry, text);
+	return text;
 }
 
 /** Text of the head's document. */
--- a/packages/core/src/catalogue/receive-catalogue-listing.ts
+++ b/packages/core/src/catalogue/receive-catalogue-listing.ts
@@ -2,23 +2,24 @@
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
 import {confirmConfiguration} from '../freshness/confirm-configuration.js';
+import {isIntroduced} from '../freshness/is-introduced.js';
+import {lacksRevision} from '../freshness/lacks-revision.js';
 import {type Listing} from '../store/transaction.js';
 import {catalogueKeys} from './catalogue-keys.js';
 import {noteStoreOutcome} from './note-store-outcome.js';
 import {parseHead} from './parse-stored-entry.js';
+import {recordHigher} from './record-higher.js';
 import {refreshCatalogue} from './refresh-catalogue.js';
 import {retryEdits} from './retry-edits.js';
 import {tickCatalogue} from './tick-catalogue.js';
 
 /** Records a store contact if the head shows no revision that the node lacks. */
 function confirm(node: Node, headRevision: number, sentAt: number, at: number): Effect[] {
-	const {catalogue, snapshot} = node;
-	if (headRevision <= Math.max(snapshot.revision, catalogue.invalidRevision)) {
-		return confirmConfiguration(node, {type: 'configuration-confirmed', at: sentAt});
+	if (recordHigher(node, {from: 'store', revision: headRevision}, at)) {
+		return [];
 	}
 
-	catalogue.higher ??= {from: 'store', revision: headRevision, seenAt: at};
-	return [];
+	return lacksRevision(node, at) || !isIntroduced(node, at) ? [] : confirmConfiguration(node, {type: 'configuration-confirmed', at: sentAt});
 }
 
 function receiveHead(node: Node, listing: Listing, sentAt: number, at: number): Effect[] {
--- a/packages/core/src/catalogue/reconcile-store.ts
+++ b/packages/core/src/catalogue/reconcile-store.ts
@@ -4,7 +4,7 @@
 import {type Entry} from '../store/transaction.js';
 import {catalogueKeys, isEntryPath} from './catalogue-keys.js';
 import {type Accepted, type VersionedEntry} from './catalogue-state.js';
-import {parseHead, parseStoredEntry} from './parse-stored-entry.js';
+import {formatEntry, parseHead, parseStoredEntry} from './parse-stored-entry.js';
 
 /** A value written without the catalogue's transaction; `value` is `null` for a deletion. */
 export type DirectWrite = {readonly path: string; readonly value: unknown; readonly malformed?: string};
@@ -57,6 +57,10 @@
 		return known.value === null ? {} : {direct: {path, value: null}};
 	}
 
+	if (known !== undefined && text === formatEntry(known)) {
+		return {};
+	}
+
 	const stored = parseStoredEntry(path, text);
 	if (stored.type === 'versioned') {
 		return compareVersioned(stored.entry, known, revisions.accepted, revisions.head);
--- a/packages/core/src/catalogue/retry-edits.ts
+++ b/packages/core/src/catalogue/retry-edits.ts
@@ -1,5 +1,6 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {editTimeoutMs, storeBackoffBaseMs} from '../constants.js';
+import {isFresh} from '../freshness/is-fresh.js';
 import {type Counter} from '../node/counters.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
@@ -50,9 +51,9 @@
 		}
 
 		const headRevision = parseHead(view.get(catalogueKeys(prefix).head)?.value);
-		if (!catalogue.listed || headRevision !== accepted.revision) {
+		if (!catalogue.listed || headRevision !== accepted.revision || !isFresh(node, at)) {
 			// The edit is judged against the head; a store behind or ahead of this node is reconciled first.
-			catalogue.listWanted = true;
+			catalogue.listWanted ||= headRevision !== accepted.revision;
 			pending.retryAt = at + storeBackoffBaseMs;
 			return [];
 		}
--- a/packages/core/src/catalogue/tick-catalogue.ts
+++ b/packages/core/src/catalogue/tick-catalogue.ts
@@ -1,4 +1,6 @@
-import {confirmationIntervalMs, maximumConfirmationsPerSecond, millisecondsPerSecond} from '../constants.js';
+import {
+	confirmationIntervalMs, maximumConfirmationsPerSecond, millisecondsPerSecond, summaryRetentionMs,
+} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
 import {buildCorrection} from './build-correction.js';
@@ -9,12 +11,15 @@
 /** Time that the watch has to deliver a revision that was seen elsewhere before the store is listed. */
 const watchLagMs = 200;
 
+/** Interval between further listings for the same revision. */
+const relistIntervalMs = 1000;
+
 function listStore(node: Node, prefix: string, at: number): Effect[] {
 	const {catalogue} = node;
 	const {higher} = catalogue;
-	const lagging = higher !== undefined && higher.revision > catalogue.accepted.revision && at - higher.seenAt >= watchLagMs;
+	const lagging = higher !== undefined && higher.revision > catalogue.accepted.revision && at - higher.shownAt <= summaryRetentionMs && at - higher.listedAt >= (higher.listedAt === higher.seenAt ? watchLagMs : relistIntervalMs);
 	if (lagging) {
-		catalogue.higher = {...higher, seenAt: at};
+		catalogue.higher = {...higher, listedAt: at};
 	}
 
 	if (catalogue.listing || !(lagging || catalogue.listWanted || !catalogue.listed)) {
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -38,7 +38,7 @@
 export const confirmationIntervalMs = 500;
 
 /** Reads of the catalogue head that all members together may make in a second; the store handles about 2,000 reads. */
-export const maximumConfirmationsPerSecond = 200;
+export const maximumConfirmationsPerSecond = 400;
 
 /** Age of a member's last store contact from which the store counts as away for it; shorter than the freshness limit, so that members agree before it passes. */
 export const storeAwayMs = 1000;
@@ -61,7 +61,13 @@
 export const maximumNeighbours = 8;
 
 /** Digests of other members that a summary relays. */
-export const maximumRelayed = 8;
+export const maximumRelayed = 3;
 
 /** Interval between two summaries in fleets with more members than a member has neighbours. */
 export const largeFleetSummaryIntervalMs = 1000;
+
+/** Time that a new process waits to hear from a recorded member before it relies on the store alone; longer than the store backoff of the others. */
+export const introductionLimitMs = 5000;
+
+/** Interval between two announcements to a member that shows a lower revision. */
+export const announcementIntervalMs = 1000;
--- a/packages/core/src/membership/create-membership.ts
+++ b/packages/core/src/membership/create-membership.ts
@@ -35,6 +35,8 @@
 			retryAt: 0,
 			left: false,
 		},
+		startedAt: 0,
+		announcedAt: new Map(),
 		listed: false,
 		listing: false,
 		watching: false,
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -62,6 +62,9 @@
 	/** Since when a member's record has been seen absent after it was present. */
 	readonly absentSince: Map<string, number>;
 	readonly registration: Registration;
+	startedAt: number;
+	/** When a member with a lower revision was last told of the higher one. */
+	readonly announcedAt: Map<string, number>;
 	listed: boolean;
 	listing: boolean;
 	watching: boolean;
--- a/packages/core/src/membership/message.ts
+++ b/packages/core/src/membership/message.ts
@@ -12,16 +12,12 @@
 
 const memberSchema = z.string().min(1).max(128);
 
-/** What a relay knows of another member. */
-export const digestSchema = z.strictObject({
-	member: memberSchema,
-	sequence: countSchema,
-	revision: countSchema,
-	/** Greatest possible age of the digest when the relay sent it. */
-	ageMs: z.number().min(0),
-	/** Age of the member's store contact when it sent its summary. */
-	storeContactAgeMs: z.number().min(0).optional(),
-});
+/**
+ * What a relay knows of another member: its identifier, sequence and revision, the greatest possible
+ * age of the digest, and the age of the member's store contact when it sent its summary, -1 for none.
+ * A tuple keeps field names, repeated in each summary, out of the control traffic.
+ */
+export const digestSchema = z.tuple([memberSchema, countSchema, countSchema, countSchema, z.int().min(-1)]);
 
 /** State of one member, sent to its neighbours at an interval. */
 export const summarySchema = z.strictObject({
@@ -41,6 +37,13 @@
 	relayed: z.array(digestSchema).max(maximumRelayed).optional(),
 });
 
+/** Sent at once when a member's revision has grown; the next summary follows at its interval. */
+export const announcementSchema = z.strictObject({
+	type: z.literal('announcement'),
+	member: memberSchema,
+	revision: countSchema,
+});
+
 /** Asks for the entries that changed since a revision. */
 export const catalogueRequestSchema = z.strictObject({
 	type: z.literal('catalogue-request'),
@@ -65,7 +68,7 @@
 	revision: countSchema,
 });
 
-export const messageSchema = z.discriminatedUnion('type', [summarySchema, leavingSchema, catalogueRequestSchema, catalogueResponseSchema]);
+export const messageSchema = z.discriminatedUnion('type', [summarySchema, leavingSchema, announcementSchema, catalogueRequestSchema, catalogueResponseSchema]);
 
 export type Demand = z.infer<typeof demandSchema>;
 export type Digest = z.infer<typeof digestSchema>;
--- a/packages/core/src/membership/receive-message.ts
+++ b/packages/core/src/membership/receive-message.ts
@@ -1,5 +1,6 @@
 import {type VersionedEntry} from '../catalogue/catalogue-state.js';
 import {acceptEntries} from '../catalogue/refresh-catalogue.js';
+import {announcementIntervalMs} from '../constants.js';
 import {updateFreshness} from '../freshness/update-freshness.js';
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
@@ -10,6 +11,17 @@
 
 type Handler<Type extends Message['type']> = (node: Node, message: MessageOf<Type>, at: number) => Effect[];
 
+/** Tells a member with a lower revision of the higher one, which it may not see in a store restored from an older state. */
+function announceTo(node: Node, summary: MessageOf<'summary'>, at: number): Effect[] {
+	const {membership, snapshot} = node;
+	if (summary.revision >= snapshot.revision || at - (membership.announcedAt.get(summary.member) ?? Number.NEGATIVE_INFINITY) < announcementIntervalMs) {
+		return [];
+	}
+
+	membership.announcedAt.set(summary.member, at);
+	return [{type: 'peer-send', to: summary.member, message: {type: 'announcement', member: node.id, revision: snapshot.revision}}];
+}
+
 const handlers: {readonly [Type in Message['type']]: Handler<Type>} = {
 	summary(node, summary, at) {
 		const {membership} = node;
@@ -21,13 +33,22 @@
 
 		recordReport(node, summary);
 		updateFreshness(node, at);
-		return [];
+		return announceTo(node, summary, at);
 	},
 	leaving(node, message) {
 		node.membership.members.delete(message.member);
 		node.membership.received.delete(message.member);
 		return [];
 	},
+	announcement(node, {member, revision}, at) {
+		node.membership.received.set(member, node.membership.received.get(member) ?? {sequence: 0, at});
+		const known = node.membership.reports.get(member);
+		if (known !== undefined && known.revision < revision) {
+			node.membership.reports.set(member, {...known, revision});
+		}
+
+		return [];
+	},
 	'catalogue-request'(node, message) {
 		const {accepted} = node.catalogue;
 		if (accepted.revision <= message.revision) {
--- a/packages/core/src/membership/record-members.ts
+++ b/packages/core/src/membership/record-members.ts
@@ -38,6 +38,7 @@
 				membership.members.delete(id);
 				membership.reports.delete(id);
 				membership.received.delete(id);
+				membership.announcedAt.delete(id);
 			}
 		} else {
 			records.set(id, record);
@@ -47,6 +48,11 @@
 
 	membership.peers = chooseNeighbours(node, [...records.values()]);
 	const peers = membership.peers.map(id => records.get(id)).filter(record => record !== undefined);
+	if (before === '[]') {
+		// A new process introduces itself at its next tick.
+		membership.sentAt = Number.NEGATIVE_INFINITY;
+	}
+
 	return JSON.stringify(peers) === before
 		? []
 		: [{type: 'peers-changed', peers: peers.map(({id, address, zone}) => ({id, address, zone}))}];
--- a/packages/core/src/membership/record-report.ts
+++ b/packages/core/src/membership/record-report.ts
@@ -31,12 +31,12 @@
 	record(node, member, {
 		sequence, revision, reportedAt: sentAt, contactAgeMs: Number.isFinite(sentAt) ? storeContactAgeMs : 0,
 	});
-	for (const digest of relayed) {
-		record(node, digest.member, {
-			sequence: digest.sequence,
-			revision: digest.revision,
-			reportedAt: sentAt - digest.ageMs,
-			contactAgeMs: Number.isFinite(sentAt) ? digest.storeContactAgeMs ?? Number.POSITIVE_INFINITY : 0,
+	for (const [id, digestSequence, digestRevision, ageMs, contactAgeMs] of relayed) {
+		record(node, id, {
+			sequence: digestSequence,
+			revision: digestRevision,
+			reportedAt: sentAt - ageMs,
+			contactAgeMs: Number.isFinite(sentAt) ? (contactAgeMs < 0 ? Number.POSITIVE_INFINITY : contactAgeMs) : 0,
 		});
 	}
 }
--- a/packages/core/src/membership/request-catalogue.ts
+++ b/packages/core/src/membership/request-catalogue.ts
@@ -1,7 +1,11 @@
-import {freshnessLimitMs, storeAwayMs, summaryIntervalMs} from '../constants.js';
+import {recordHigher} from '../catalogue/record-higher.js';
+import {storeAwayMs, summaryIntervalMs} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
 
+/** Time in which the watch or a listing brings a revision that the store has. */
+const listingTimeMs = 500;
+
 /**
  * Asks for a revision that another member has shown: the store while the node has contact with it,
  * otherwise the member itself.
@@ -15,17 +19,13 @@
  */
 export function requestCatalogue(node: Node, higher: {from: string; revision: number}, at: number): Effect[] {
 	const {catalogue, membership, freshness} = node;
-	if (higher.revision <= Math.max(node.snapshot.revision, catalogue.invalidRevision)) {
+	if (!recordHigher(node, higher, at)) {
 		return [];
 	}
 
-	if (catalogue.higher === undefined || catalogue.higher.revision < higher.revision) {
-		catalogue.higher = {...higher, seenAt: catalogue.higher?.seenAt ?? at};
-	}
-
-	// A member that has lost the store for longer asks at once; the others give the watch its time first.
+	// A member without the store asks at once; the others give the watch and a listing their time first.
 	const storeAway = at - freshness.confirmedAt >= storeAwayMs || catalogue.failures > 0;
-	const waited = at - catalogue.higher.seenAt >= freshnessLimitMs / 2;
+	const waited = at - (catalogue.higher?.seenAt ?? at) >= listingTimeMs;
 	if (!(storeAway || waited) || at - membership.requestedAt < summaryIntervalMs) {
 		return [];
 	}
--- a/packages/core/src/membership/send-summary.ts
+++ b/packages/core/src/membership/send-summary.ts
@@ -21,9 +21,8 @@
 		const element = known[(first + step) % known.length];
 		if (element !== undefined) {
 			const [member, {sequence, revision, reportedAt, storeContactAt}] = element;
-			digests.push({
-				member, sequence, revision, ageMs: Math.max(0, at - reportedAt), ...(Number.isFinite(storeContactAt) && {storeContactAgeMs: Math.max(0, reportedAt - storeContactAt)}),
-			});
+			const contactAgeMs = Number.isFinite(storeContactAt) ? Math.ceil(Math.max(0, reportedAt - storeContactAt)) : -1;
+			digests.push([member, sequence, revision, Math.ceil(Math.max(0, at - reportedAt)), contactAgeMs]);
 		}
 	}
 
@@ -31,6 +30,16 @@
 	return digests;
 }
 
+function announce(node: Node): Effect[] {
+	const {membership, snapshot} = node;
+	if (snapshot.revision === membership.sentRevision) {
+		return [];
+	}
+
+	membership.sentRevision = snapshot.revision;
+	return membership.peers.map(to => ({type: 'peer-send', to, message: {type: 'announcement', member: node.id, revision: snapshot.revision}}));
+}
+
 function recordSent(node: Node, at: number): void {
 	const {membership} = node;
 	membership.sentAt = at;
@@ -47,12 +56,12 @@
 }
 
 /**
- * Sends the node's summary to its neighbours when the interval has passed, and at once when its
- * revision has grown.
+ * Sends the node's summary to its neighbours when the interval has passed, and announces a
+ * revision that has grown in between.
  *
  * @param node - the node, updated in place
  * @param event - the tick
- * @returns one `peer-send` for each neighbour
+ * @returns at most one `peer-send` for each neighbour
  * @example
  * sendSummary(node, {type: 'tick', at: 300});
  */
@@ -60,8 +69,8 @@
 	const {membership, freshness, snapshot} = node;
 	const {at} = event;
 	const interval = membership.records.size > maximumNeighbours + 1 ? largeFleetSummaryIntervalMs : summaryIntervalMs;
-	if (at - membership.sentAt < interval && snapshot.revision === membership.sentRevision) {
-		return [];
+	if (at - membership.sentAt < interval) {
+		return announce(node);
 	}
 
 	recordSent(node, at);
@@ -72,13 +81,13 @@
 		zone: node.zone,
 		sequence: membership.sequence,
 		revision: snapshot.revision,
-		...(Number.isFinite(freshness.confirmedAt) && {storeContactAgeMs: Math.max(0, at - freshness.confirmedAt)}),
+		...(Number.isFinite(freshness.confirmedAt) && {storeContactAgeMs: Math.ceil(Math.max(0, at - freshness.confirmedAt))}),
 		demand: describeDemand(node),
 		...(relayed.length > 0 && {relayed}),
 	};
 	return membership.peers.map(to => {
 		const received = membership.received.get(to);
-		const message = received === undefined ? summary : {...summary, echo: {sequence: received.sequence, heldMs: Math.max(0, at - received.at)}};
+		const message = received === undefined ? summary : {...summary, echo: {sequence: received.sequence, heldMs: Math.floor(Math.max(0, at - received.at))}};
 		return {type: 'peer-send', to, message};
 	});
 }
--- a/packages/core/src/membership/start-membership.ts
+++ b/packages/core/src/membership/start-membership.ts
@@ -15,6 +15,7 @@
 export function startMembership(node: Node, event: EventOf<'process-started'>): Effect[] {
 	const {registration} = node.membership;
 	registration.prefix = event.prefix;
+	node.membership.startedAt = event.at;
 	registration.address = event.address;
 	registration.incarnation = event.incarnation;
 	return tickMembership(node, event);
--- /dev/null
+++ b/packages/measure/src/experiments/configuration-spread.ts
@@ -0,0 +1,217 @@
+import {chooseNeighbours, type Location} from '@rosemaryquay/core/membership/choose-neighbours';
+import {largeFleetSummaryIntervalMs, tickIntervalMs} from '@rosemaryquay/core/constants';
+import {checkBound} from '../check-bound.js';
+import {type ControlPump, revisionOf, startControl} from '../control-pump.js';
+import {type Baseline, type Bound, type Experiment} from '../experiment.js';
+import {listUsers, loadUser, type User} from '../load-user.js';
+
+const changes = 20;
+const changeIntervalMs = 4000;
+const probeIntervalMs = 10;
+const spreadLimitMs = 3000;
+
+/** Entry instances at the design size, assumed as eight for each availability zone. */
+const designZones = 25;
+const designMembers = designZones * 8;
+const designChangesPerSecond = 33_000 / 86_400;
+/** Assumed one-way delay between regions. */
+const regionDelayMs = 100;
+const announcementBytes = JSON.stringify({type: 'announcement', member: 'entry-100-mb0x1y2z', revision: 1_000_000}).length;
+/** Size of the fleet on which messages with relayed digests are measured. */
+const relayingInstances = 27;
+
+type Condition = {readonly drop?: number; readonly cut?: number; readonly pause?: boolean; readonly storeDown?: boolean};
+
+/** `cut`: instances without the store from before each change; `storeDown`: the store leaves as soon as the change is accepted. */
+const conditions: Readonly<Record<string, Condition>> = {
+	plain: {},
+	'20 % loss': {drop: 0.2},
+	'store away for half': {cut: 4},
+	'store away for half, 20 % loss': {cut: 4, drop: 0.2},
+	'store lost after the change': {cut: 4, storeDown: true},
+	'one instance paused': {pause: true},
+};
+
+type Spread = {worstMs: number; bytesPerSecond: number; readsPerSecond: number; requests: number};
+
+function probe(pump: ControlPump, revision: number, since: number, record: (ms: number) => void): void {
+	const ids = [...pump.nodes.keys()];
+	if (ids.every(id => revisionOf(pump, id) >= revision)) {
+		record(pump.now - since);
+		return;
+	}
+
+	if (pump.now - since >= changeIntervalMs - (2 * probeIntervalMs)) {
+		record(changeIntervalMs);
+		return;
+	}
+
+	pump.after(probeIntervalMs, () => {
+		probe(pump, revision, since, record);
+	});
+}
+
+function change(pump: ControlPump, user: User, options: {index: number; condition: Condition; record: (ms: number) => void}): void {
+	const {index, condition, record} = options;
+	const names = Object.keys(user.catalogue.teams);
+	const name = names[index % names.length] ?? '';
+	const requestId = `change-${index}`;
+	const last = `entry-${pump.nodes.size - 1}`;
+	const pausedMs = condition.pause === true ? 1500 : 0;
+	if (pausedMs > 0) {
+		pump.pause(last, pump.now + pausedMs);
+	}
+
+	pump.deliver('entry-0', {
+		type: 'edit-requested', edit: {
+			requestId, operator: 'ann', section: 'teams', name, value: {...user.catalogue.teams[name], share: 1 + index}, baseRevision: revisionOf(pump, 'entry-0'),
+		},
+	});
+	const awaitAnswer = (): void => {
+		const answer = pump.edits.get(requestId);
+		if (answer === undefined) {
+			pump.after(1, awaitAnswer);
+			return;
+		}
+
+		if (answer.result.type !== 'accepted') {
+			record(changeIntervalMs);
+			return;
+		}
+
+		if (condition.storeDown === true) {
+			pump.storeCondition = {down: true};
+		}
+
+		// A paused instance starts no work; its time counts from its return.
+		const since = answer.at + pausedMs;
+		const {revision} = answer.result;
+		pump.at(since, () => {
+			probe(pump, revision, since, record);
+		});
+	};
+
+	awaitAnswer();
+}
+
+function measure(user: User, seed: number, condition: Condition, carryRevisions: boolean): Spread {
+	const pump = startControl(user, {seed, drop: condition.drop ?? 0});
+	pump.carryRevisions = carryRevisions;
+	pump.countStoreBytes = true;
+	const begin = pump.now;
+	pump.bytesByNode.clear();
+	pump.readsByNode.clear();
+	const spreadsMs: number[] = [];
+	const record = (ms: number): void => {
+		spreadsMs.push(ms);
+	};
+
+	for (let index = 0; index < changes; index++) {
+		const at = begin + (index * changeIntervalMs);
+		pump.at(at, () => {
+			pump.storeCondition = {};
+			pump.cutOffStore.clear();
+		});
+		pump.at(at + (changeIntervalMs / 2), () => {
+			pump.cut(Array.from({length: condition.cut ?? 0}, (_, offset) => `entry-${7 - offset}`), pump.cutOffStore);
+		});
+		// Members have returned to the store before the next change.
+		pump.at(at + (changeIntervalMs / 2) + 200, () => {
+			change(pump, user, {index, condition, record});
+		});
+	}
+
+	const seconds = ((changes + 1) * changeIntervalMs) / 1000;
+	pump.run(begin + (seconds * 1000));
+	return {
+		worstMs: Math.max(...spreadsMs),
+		bytesPerSecond: Math.round(Math.max(...pump.bytesByNode.values()) / seconds),
+		readsPerSecond: Math.round((100 * Math.max(...pump.readsByNode.values())) / seconds) / 100,
+		requests: pump.counters.get('catalogue.from-peer') ?? 0,
+	};
+}
+
+/** Largest number of neighbours, and hops from one member to the farthest other, at the design size. */
+function measureGraph(): {degree: number; hops: number} {
+	const members: Location[] = Array.from({length: designMembers}, (_, index) => ({id: `entry-${index}`, zone: `zone-${index % designZones}`}));
+	const neighbours = new Map(members.map(member => [member.id, chooseNeighbours(member, members)]));
+	let hops = -1;
+	let frontier = ['entry-0'];
+	const seen = new Set(frontier);
+	while (frontier.length > 0) {
+		hops += 1;
+		const next = new Set<string>();
+		for (const id of frontier) {
+			for (const neighbour of neighbours.get(id) ?? []) {
+				if (!seen.has(neighbour)) {
+					seen.add(neighbour);
+					next.add(neighbour);
+				}
+			}
+		}
+
+		frontier = [...next];
+	}
+
+	return {degree: Math.max(...[...neighbours.values()].map(ids => ids.length)), hops: seen.size === designMembers ? hops : Number.POSITIVE_INFINITY};
+}
+
+/** Mean size of a summary that relays digests, and of an entry as a member receives it. */
+function measureMessages(user: User, seed: number): {summaryBytes: number; entryBytes: number} {
+	const pump = startControl(user, {seed, instances: relayingInstances});
+	pump.summaries = 0;
+	pump.summaryBytes = 0;
+	pump.run(pump.now + 20_000);
+	const entries = pump.store.list('rosemaryquay/catalogue/sections/');
+	return {
+		summaryBytes: pump.summaryBytes / pump.summaries,
+		entryBytes: Math.max(...entries.entries.map(entry => JSON.stringify(entry).length)),
+	};
+}
+
+function workOut(user: User, seed: number): {bounds: Bound[]; detail: unknown} {
+	const {degree, hops} = measureGraph();
+	const {summaryBytes, entryBytes} = measureMessages(user, seed);
+	// On each hop a member waits for its tick, sends its summary, and gets the request and sends the response.
+	const spreadMs = hops * (tickIntervalMs + (3 * regionDelayMs));
+	const summaryRate = degree * summaryBytes * (1000 / largeFleetSummaryIntervalMs);
+	const announcementRate = degree * announcementBytes * designChangesPerSecond;
+	// Each member sends what its neighbours receive; a changed entry arrives once with its head, from the watch.
+	const bytesPerSecond = Math.round((2 * (summaryRate + announcementRate)) + (designChangesPerSecond * (entryBytes + announcementBytes)));
+	return {
+		bounds: [
+			checkBound('spread at the design size without the store', spreadMs, {comparison: 'atMost', limit: 8000, unit: 'ms'}),
+			checkBound('control traffic per node at the design size, sent and received', bytesPerSecond, {comparison: 'atMost', limit: 7000, unit: 'bytes/s'}),
+		],
+		detail: {
+			degree, hops, summaryBytes: Math.round(summaryBytes), entryBytes,
+		},
+	};
+}
+
+/** Time until a change is in force everywhere, with and without revisions on peer messages. */
+export const configurationSpread: Experiment = {
+	summary: 'Time until a change is in force everywhere, and store reads and bytes per node',
+	run({seed}) {
+		const bounds: Bound[] = [];
+		const baselines: Baseline[] = [];
+		const details: Record<string, unknown> = {};
+		for (const name of listUsers()) {
+			const user = loadUser(name);
+			for (const [label, condition] of Object.entries(conditions)) {
+				const {worstMs, ...rest} = measure(user, seed, condition, true);
+				const without = measure(user, seed, condition, false);
+				const measureName = `in force everywhere, ${name}, ${label}`;
+				bounds.push(checkBound(measureName, worstMs, {comparison: 'atMost', limit: spreadLimitMs, unit: 'ms'}));
+				baselines.push({
+					name: `without revisions on peer messages (${changeIntervalMs}: not within the window)`, measure: measureName, unit: 'ms', value: without.worstMs,
+				});
+				details[`${name}, ${label}`] = rest;
+			}
+		}
+
+		const [first = ''] = listUsers();
+		const {bounds: designBounds, detail} = workOut(loadUser(first), seed);
+		return {bounds: [...bounds, ...designBounds], baselines, details: {...details, design: detail}};
+	},
+};
--- /dev/null
+++ b/packages/measure/src/experiments/never-reverts.ts
@@ -0,0 +1,226 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {isFresh} from '@rosemaryquay/core/freshness/is-fresh';
+import {checkBound} from '../check-bound.js';
+import {type ControlPump, revisionOf, startControl} from '../control-pump.js';
+import {type Experiment} from '../experiment.js';
+import {listUsers, loadUser, type User} from '../load-user.js';
+
+const seedsPerUser = 3;
+const runMs = 30_000;
+const quietMs = 10_000;
+const probeIntervalMs = 10;
+
+type Submitted = {readonly requestId: string; readonly path: string; readonly revisionBefore: number};
+
+type Outcome = {
+	lower: number;
+	startedBehind: number;
+	lost: number;
+	accepted: number;
+	conflicts: number;
+	unresolved: number;
+	disagreeing: number;
+	corrections: number;
+};
+
+class Run {
+	lower = 0;
+	startedBehind = 0;
+	readonly pump: ControlPump;
+	readonly user: User;
+	readonly edits: Submitted[] = [];
+	readonly #random;
+	readonly #seen = new Map<string, number>();
+	readonly #zones: readonly string[];
+	#everywhere = 0;
+	#started = 0;
+
+	constructor(user: User, seed: number) {
+		this.user = user;
+		this.pump = startControl(user, {seed, drop: 0.05});
+		this.#random = xoroshiro128plus(seed);
+		this.#zones = user.fleet.zones;
+		this.pump.staleReads = 0.1;
+		this.pump.rememberListings();
+	}
+
+	start(): void {
+		const begin = this.pump.now;
+		this.#repeat(begin, 150, () => {
+			this.#edit();
+		});
+		this.#repeat(begin, 3000, () => {
+			this.pump.rememberListings();
+		});
+		this.#repeat(begin, 5000, () => {
+			this.#replace();
+		});
+		this.#repeat(begin, 9000, () => {
+			this.#restore();
+		});
+		this.#repeat(begin, 4000, () => {
+			this.pump.storeCondition = {loseAnswers: this.pump.chance(0.5) ? 0.2 : 0};
+		});
+		const probe = (): void => {
+			this.#probe();
+			this.pump.after(probeIntervalMs, probe);
+		};
+
+		probe();
+		this.pump.at(begin + runMs, () => {
+			this.pump.staleReads = 0;
+			this.pump.storeCondition = {};
+		});
+		this.pump.run(begin + runMs + quietMs);
+	}
+
+	finish(): Outcome {
+		const [first] = this.pump.nodes.values();
+		const entries = first?.catalogue.accepted.entries;
+		const results = this.edits.map(edit => ({...edit, answer: this.pump.edits.get(edit.requestId)}));
+		const accepted = results.filter(({answer}) => answer?.result.type === 'accepted');
+		let lost = 0;
+		for (const {requestId, path, answer} of accepted) {
+			const entry = entries?.get(path);
+			const successor = accepted.find(other => other.requestId === entry?.requestId);
+			// An edit that a later accepted one replaced is not lost.
+			const replaced = successor !== undefined && (successor.answer?.at ?? 0) >= (answer?.at ?? 0);
+			if (entry?.requestId !== requestId && !replaced) {
+				lost += 1;
+			}
+		}
+
+		const revisions = new Set<string>();
+		for (const {snapshot, catalogue} of this.pump.nodes.values()) {
+			const requestIds = [...catalogue.accepted.entries.values()].map(entry => entry.requestId);
+			revisions.add(JSON.stringify([snapshot.revision, requestIds.toSorted()]));
+		}
+
+		const count = (type: string): number => results.filter(({answer}) => answer?.result.type === type).length;
+		return {
+			lower: this.lower,
+			startedBehind: this.startedBehind,
+			lost,
+			accepted: accepted.length,
+			conflicts: count('conflict'),
+			unresolved: results.length - accepted.length - count('conflict'),
+			disagreeing: revisions.size - 1,
+			corrections: this.pump.counters.get('catalogue.corrected') ?? 0,
+		};
+	}
+
+	#repeat(begin: number, intervalMs: number, run: () => void): void {
+		for (let at = begin + intervalMs; at < begin + runMs; at += intervalMs) {
+			this.pump.at(at, run);
+		}
+	}
+
+	/** Two operators race for the same entry through different instances. */
+	#edit(): void {
+		const names = Object.keys(this.user.catalogue.teams);
+		const name = names[this.#next(names.length)] ?? '';
+		for (let operator = 0; operator < 2; operator++) {
+			const ids = [...this.pump.nodes.keys()];
+			const node = ids[this.#next(ids.length)] ?? '';
+			const requestId = `edit-${this.edits.length}`;
+			const baseRevision = revisionOf(this.pump, node);
+			this.edits.push({requestId, path: `teams/${name}`, revisionBefore: baseRevision});
+			this.pump.deliver(node, {
+				type: 'edit-requested', edit: {
+					requestId,
+					operator: `operator-${operator}`,
+					section: 'teams',
+					name,
+					value: {...this.user.catalogue.teams[name], share: 1 + (this.edits.length % 1000)},
+					baseRevision,
+				},
+			});
+		}
+	}
+
+	#replace(): void {
+		const ids = [...this.pump.nodes.keys()];
+		const old = ids[this.#next(ids.length)] ?? '';
+		this.pump.stop(old);
+		this.pump.nodes.delete(old);
+		this.#started += 1;
+		this.pump.startNode(`new-${this.#started}`, this.user, {zone: this.#zones[this.#started % this.#zones.length] ?? '', seed: this.#started});
+	}
+
+	/** The store returns after a second as it was some time before, and a process starts at the same moment. */
+	#restore(): void {
+		const {pump} = this;
+		const backup = pump.store.snapshot();
+		pump.after(1000 + this.#next(1000), () => {
+			pump.storeCondition = {down: true};
+			pump.after(1000, () => {
+				pump.store.restore(backup);
+				pump.storeCondition = {};
+				this.#replace();
+			});
+		});
+	}
+
+	#probe(): void {
+		let lowest = Number.POSITIVE_INFINITY;
+		for (const [id, node] of this.pump.nodes) {
+			const {revision} = node.snapshot;
+			if (revision < (this.#seen.get(id) ?? 0)) {
+				this.lower += 1;
+			}
+
+			if (isFresh(node, this.pump.now) && revision < this.#everywhere) {
+				this.startedBehind += 1;
+			}
+
+			this.#seen.set(id, revision);
+			lowest = Math.min(lowest, revision);
+		}
+
+		this.#everywhere = Math.max(this.#everywhere, lowest);
+	}
+
+	#next(size: number): number {
+		return uniformInt(this.#random, 0, size - 1);
+	}
+}
+
+/** Lower revisions applied and accepted edits lost, with stale reads, replaced instances, a restored store and racing operators. */
+export const neverReverts: Experiment = {
+	summary: 'Lower revisions applied and accepted edits lost, over seeds and faults',
+	run({seed}) {
+		const details: Record<string, Outcome[]> = {};
+		for (const name of listUsers()) {
+			const user = loadUser(name);
+			details[name] = Array.from({length: seedsPerUser}, (_, index) => {
+				const run = new Run(user, (seed * 100) + index);
+				run.start();
+				return run.finish();
+			});
+		}
+
+		const sum = (measure: keyof Outcome): number => {
+			let total = 0;
+			for (const outcome of Object.values(details).flat()) {
+				total += outcome[measure];
+			}
+
+			return total;
+		};
+
+		const target = {comparison: 'atMost', limit: 0} as const;
+		return {
+			bounds: [
+				checkBound('lower revisions applied by a process', sum('lower'), {...target, unit: 'probes'}),
+				// Guards against a new process that starts work under the old head of a restored store.
+				checkBound('processes ready with a revision below one that was in force everywhere', sum('startedBehind'), {...target, unit: 'probes'}),
+				checkBound('accepted edits lost', sum('lost'), {...target, unit: 'edits'}),
+				checkBound('instances that disagree at the end', sum('disagreeing'), {...target, unit: 'instances'}),
+				checkBound('edits accepted', sum('accepted'), {comparison: 'atLeast', limit: 1, unit: 'edits'}),
+			],
+			baselines: [],
+			details,
+		};
+	},
+};
