--- a/packages/core/src/catalogue/build-correction.test.ts
+++ b/packages/core/src/catalogue/build-correction.test.ts
@@ -4,7 +4,8 @@
 import {applyEntries} from './apply-entries.js';
 import {buildCorrection} from './build-correction.js';
 import {type Accepted, type VersionedEntry} from './catalogue-state.js';
-import {formatEntry, formatHead} from './parse-stored-entry.js';
+import {formatEntry} from './format-entry.js';
+import {formatHead} from './format-head.js';
 import {reconcileStore} from './reconcile-store.js';
 
 const prefix = 'p/';
--- a/packages/core/src/catalogue/build-correction.ts
+++ b/packages/core/src/catalogue/build-correction.ts
@@ -4,10 +4,12 @@
 import {maximumCorrections} from '../constants.js';
 import {type Entry, type Operation, type Transaction} from '../store/transaction.js';
 import {applyEntries} from './apply-entries.js';
-import {createEditedEntry} from './build-edit.js';
-import {catalogueKeys, sectionRank} from './catalogue-keys.js';
+import {createEditedEntry} from './create-edited-entry.js';
+import {nameKeys} from './name-keys.js';
+import {rankSection} from './rank-section.js';
 import {type Accepted, type VersionedEntry} from './catalogue-state.js';
-import {formatEntry, formatHead} from './parse-stored-entry.js';
+import {formatEntry} from './format-entry.js';
+import {formatHead} from './format-head.js';
 import {type DirectWrite, type Reconciliation} from './reconcile-store.js';
 import {type Section} from './schema.js';
 
@@ -31,7 +33,7 @@
 /** Splits direct writes into those that keep the whole catalogue valid and the others. */
 function splitWrites(accepted: Accepted, writes: readonly DirectWrite[], revision: number, requestId: string): {adopted: VersionedEntry[]; rejected: DirectWrite[]} {
 	const rejected = writes.filter(write => write.malformed !== undefined);
-	const candidates = writes.filter(write => write.malformed === undefined).toSorted((a, b) => sectionRank(a.path) - sectionRank(b.path)).slice(0, maximumCorrections);
+	const candidates = writes.filter(write => write.malformed === undefined).toSorted((a, b) => rankSection(a.path) - rankSection(b.path)).slice(0, maximumCorrections);
 	const entries = candidates.map(write => toEntry(write, revision, requestId, accepted));
 	if (applyEntries(accepted, entries, revision).ok) {
 		return {adopted: entries, rejected};
@@ -65,7 +67,7 @@
 export function buildCorrection(accepted: Accepted, view: ReadonlyMap<string, Entry>, reconciliation: Reconciliation, options: {prefix: string; requestId: string}): Correction | undefined {
 	const {prefix, requestId} = options;
 	const {headRevision, lost, direct} = reconciliation;
-	const keys = catalogueKeys(prefix);
+	const keys = nameKeys(prefix);
 	const behind = headRevision < accepted.revision;
 	if (lost.length === 0 && direct.length === 0 && !behind) {
 		return undefined;
--- a/packages/core/src/catalogue/build-edit.ts
+++ b/packages/core/src/catalogue/build-edit.ts
@@ -1,29 +1,8 @@
 import {type Entry, type Transaction} from '../store/transaction.js';
-import {type Edit, type VersionedEntry} from './catalogue-state.js';
-import {catalogueKeys} from './catalogue-keys.js';
-import {formatEntry, formatHead, maximumEarlier} from './parse-stored-entry.js';
-
-/**
- * Builds the entry that an edit stores.
- *
- * @param edit - the edit
- * @param revision - its revision
- * @param previous - the entry that it replaces
- * @returns the versioned entry
- * @example
- * const entry = createEditedEntry(edit, 8, accepted.entries.get('teams/main'));
- */
-export function createEditedEntry(edit: Omit<Edit, 'baseRevision'>, revision: number, previous: VersionedEntry | undefined): VersionedEntry {
-	const {requestId, operator, section, name, value} = edit;
-	return {
-		path: `${section}/${name}`,
-		revision,
-		requestId,
-		operator,
-		earlier: previous === undefined ? [] : [previous.requestId, ...previous.earlier].slice(0, maximumEarlier),
-		value,
-	};
-}
+import {type VersionedEntry} from './catalogue-state.js';
+import {nameKeys} from './name-keys.js';
+import {formatEntry} from './format-entry.js';
+import {formatHead} from './format-head.js';
 
 /**
  * Builds the transaction of an edit: it compares the head and the entry with what was seen and
@@ -37,7 +16,7 @@
  * const transaction = buildEdit(entry, view, 'rosemaryquay/');
  */
 export function buildEdit(entry: VersionedEntry, view: ReadonlyMap<string, Entry>, prefix: string): Transaction {
-	const keys = catalogueKeys(prefix);
+	const keys = nameKeys(prefix);
 	const key = `${keys.sections}${entry.path}`;
 	return {
 		compare: [
--- a/packages/core/src/catalogue/decide-edit.test.ts
+++ b/packages/core/src/catalogue/decide-edit.test.ts
@@ -3,7 +3,7 @@
 import {type StoreOutcome, type TransactionResult} from '../store/transaction.js';
 import {type Edit} from './catalogue-state.js';
 import {decideEdit} from './decide-edit.js';
-import {formatEntry} from './parse-stored-entry.js';
+import {formatEntry} from './format-entry.js';
 
 const edit: Edit = {
 	requestId: 'mine', operator: 'ann', section: 'teams', name: 'main', value: {}, baseRevision: 7,
--- a/packages/core/src/catalogue/edit-catalogue.ts
+++ b/packages/core/src/catalogue/edit-catalogue.ts
@@ -1,7 +1,8 @@
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
-import {answerEdit, retryEdits} from './retry-edits.js';
+import {answerEdit} from './answer-edit.js';
+import {retryEdits} from './retry-edits.js';
 
 /**
  * Begins an operator's edit of one entry; it ends with `edit-answered`. Submitting the same request
--- a/packages/core/src/catalogue/finish-catalogue-transaction.ts
+++ b/packages/core/src/catalogue/finish-catalogue-transaction.ts
@@ -6,7 +6,7 @@
 import {decideEdit} from './decide-edit.js';
 import {noteStoreOutcome} from './note-store-outcome.js';
 import {refreshCatalogue} from './refresh-catalogue.js';
-import {answerEdit} from './retry-edits.js';
+import {answerEdit} from './answer-edit.js';
 import {tickCatalogue} from './tick-catalogue.js';
 
 /** Shows the entries that a successful edit wrote, without waiting for the watch. */
--- a/packages/core/src/catalogue/receive-catalogue-listing.ts
+++ b/packages/core/src/catalogue/receive-catalogue-listing.ts
@@ -5,9 +5,9 @@
 import {isIntroduced} from '../freshness/is-introduced.js';
 import {lacksRevision} from '../freshness/lacks-revision.js';
 import {type Listing} from '../store/transaction.js';
-import {catalogueKeys} from './catalogue-keys.js';
+import {nameKeys} from './name-keys.js';
 import {noteStoreOutcome} from './note-store-outcome.js';
-import {parseHead} from './parse-stored-entry.js';
+import {parseHead} from './parse-head.js';
 import {recordHigher} from './record-higher.js';
 import {refreshCatalogue} from './refresh-catalogue.js';
 import {retryEdits} from './retry-edits.js';
@@ -61,7 +61,7 @@
 	catalogue.listed = true;
 	catalogue.view.clear();
 	catalogue.viewRevision = outcome.value.revision;
-	const {rejected, head} = catalogueKeys(catalogue.prefix);
+	const {rejected, head} = nameKeys(catalogue.prefix);
 	for (const entry of outcome.value.entries) {
 		if (!entry.key.startsWith(rejected)) {
 			catalogue.view.set(entry.key, entry);
--- a/packages/core/src/catalogue/receive-catalogue-report.ts
+++ b/packages/core/src/catalogue/receive-catalogue-report.ts
@@ -1,7 +1,7 @@
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
-import {catalogueKeys} from './catalogue-keys.js';
+import {nameKeys} from './name-keys.js';
 import {refreshCatalogue} from './refresh-catalogue.js';
 
 /**
@@ -27,7 +27,7 @@
 		return [];
 	}
 
-	const {sections, rejected} = catalogueKeys(catalogue.prefix);
+	const {sections, rejected} = nameKeys(catalogue.prefix);
 	const changed: string[] = [];
 	for (const {key, value, modRevision} of report.changes) {
 		if (modRevision <= (catalogue.view.get(key)?.modRevision ?? 0) || key.startsWith(rejected)) {
--- a/packages/core/src/catalogue/reconcile-store.ts
+++ b/packages/core/src/catalogue/reconcile-store.ts
@@ -2,9 +2,12 @@
  * Comparison of the accepted catalogue with what the store shows.
  */
 import {type Entry} from '../store/transaction.js';
-import {catalogueKeys, isEntryPath} from './catalogue-keys.js';
+import {nameKeys} from './name-keys.js';
+import {isEntryPath} from './is-entry-path.js';
 import {type Accepted, type VersionedEntry} from './catalogue-state.js';
-import {formatEntry, parseHead, parseStoredEntry} from './parse-stored-entry.js';
+import {formatEntry} from './format-entry.js';
+import {parseHead} from './parse-head.js';
+import {parseStoredEntry} from './parse-stored-entry.js';
 
 /** A value written without the catalogue's transaction; `value` is `null` for a deletion. */
 export type DirectWrite = {readonly path: string; readonly value: unknown; readonly malformed?: string};
@@ -92,7 +95,7 @@
  * const {newer, lost, direct} = reconcileStore(accepted, view, 'rosemaryquay/');
  */
 export function reconcileStore(accepted: Accepted, view: ReadonlyMap<string, Entry>, prefix: string, changed?: readonly string[]): Reconciliation {
-	const keys = catalogueKeys(prefix);
+	const keys = nameKeys(prefix);
 	const headRevision = parseHead(view.get(keys.head)?.value);
 	const paths = changed ?? listPaths(accepted, view, keys.sections);
 
--- a/packages/core/src/catalogue/refresh-catalogue.ts
+++ b/packages/core/src/catalogue/refresh-catalogue.ts
@@ -2,44 +2,9 @@
 import {correctionSpreadLimitMs, correctionSpreadMs} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
-import {applyEntries} from './apply-entries.js';
-import {type VersionedEntry} from './catalogue-state.js';
+import {acceptEntries} from './accept-entries.js';
 import {reconcileStore} from './reconcile-store.js';
 
-/**
- * Puts a newer catalogue in force, or reports why the last one stays.
- *
- * @param node - the node, updated in place
- * @param entries - the changed entries
- * @param revision - revision of the catalogue that they lead to
- * @returns the reports
- * @example
- * const effects = acceptEntries(node, message.entries, message.revision);
- */
-export function acceptEntries(node: Node, entries: readonly VersionedEntry[], revision: number): Effect[] {
-	const {catalogue} = node;
-	if (revision <= catalogue.accepted.revision || revision <= catalogue.invalidRevision) {
-		return [];
-	}
-
-	const applied = applyEntries(catalogue.accepted, entries, revision);
-	if (!applied.ok) {
-		catalogue.invalidRevision = revision;
-		return [{type: 'count', counter: 'catalogue.invalid'}, {type: 'report', report: {type: 'catalogue-invalid', revision, problems: applied.problems}}];
-	}
-
-	catalogue.accepted = applied.accepted;
-	if (applied.snapshot.revision > node.snapshot.revision) {
-		node.snapshot = applied.snapshot;
-	}
-
-	if (catalogue.higher !== undefined && catalogue.higher.revision <= revision) {
-		catalogue.higher = undefined;
-	}
-
-	return [{type: 'report', report: {type: 'catalogue-loaded', revision}}];
-}
-
 /**
  * Compares the accepted catalogue with what the store shows after a change: newer entries come
  * into force, and a correction is planned when the store has lost entries or has direct writes.
--- a/packages/core/src/catalogue/retry-edits.ts
+++ b/packages/core/src/catalogue/retry-edits.ts
@@ -1,38 +1,16 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {editTimeoutMs, storeBackoffBaseMs} from '../constants.js';
 import {isFresh} from '../freshness/is-fresh.js';
-import {type Counter} from '../node/counters.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
+import {answerEdit} from './answer-edit.js';
 import {applyEntries} from './apply-entries.js';
-import {buildEdit, createEditedEntry} from './build-edit.js';
-import {catalogueKeys} from './catalogue-keys.js';
-import {type EditResult, type PendingEdit} from './catalogue-state.js';
+import {buildEdit} from './build-edit.js';
+import {nameKeys} from './name-keys.js';
+import {type PendingEdit} from './catalogue-state.js';
+import {createEditedEntry} from './create-edited-entry.js';
 import {describeDifference} from './describe-difference.js';
-import {parseHead} from './parse-stored-entry.js';
-
-const resultCounters: Record<EditResult['type'], Counter> = {
-	accepted: 'catalogue.edit-accepted',
-	conflict: 'catalogue.edit-conflict',
-	invalid: 'catalogue.edit-invalid',
-	unavailable: 'catalogue.edit-unresolved',
-	'outcome-unknown': 'catalogue.edit-unresolved',
-};
-
-/**
- * Ends an edit.
- *
- * @param node - the node, updated in place
- * @param requestId - request identifier of the edit
- * @param result - its result
- * @returns the answer and its counter
- * @example
- * answerEdit(node, 'edit-1', {type: 'unavailable'});
- */
-export function answerEdit(node: Node, requestId: string, result: EditResult): Effect[] {
-	node.catalogue.edits.delete(requestId);
-	return [{type: 'count', counter: resultCounters[result.type]}, {type: 'edit-answered', requestId, result}];
-}
+import {parseHead} from './parse-head.js';
 
 function sendEdit(node: Node, pending: PendingEdit, at: number): Effect[] {
 	const {catalogue} = node;
@@ -50,7 +28,7 @@
 			});
 		}
 
-		const headRevision = parseHead(view.get(catalogueKeys(prefix).head)?.value);
+		const headRevision = parseHead(view.get(nameKeys(prefix).head)?.value);
 		if (!catalogue.listed || headRevision !== accepted.revision || !isFresh(node, at)) {
 			// The edit is judged against the head; a store behind or ahead of this node is reconciled first.
 			catalogue.listWanted ||= headRevision !== accepted.revision;
--- a/packages/core/src/catalogue/tick-catalogue.ts
+++ b/packages/core/src/catalogue/tick-catalogue.ts
@@ -4,7 +4,7 @@
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
 import {buildCorrection} from './build-correction.js';
-import {catalogueKeys} from './catalogue-keys.js';
+import {nameKeys} from './name-keys.js';
 import {reconcileStore} from './reconcile-store.js';
 import {retryEdits} from './retry-edits.js';
 
@@ -30,7 +30,7 @@
 	catalogue.listSentAt = at;
 	const effects: Effect[] = catalogue.listed ? [{type: 'count', counter: 'catalogue.relisted'}] : [];
 	return [...effects, {
-		type: 'store-list', purpose: 'catalogue', id: 'all', prefix: catalogueKeys(prefix).all,
+		type: 'store-list', purpose: 'catalogue', id: 'all', prefix: nameKeys(prefix).all,
 	}];
 }
 
@@ -44,7 +44,7 @@
 	catalogue.headAskedAt = at;
 	catalogue.headPendingAt = at;
 	return [{
-		type: 'store-list', purpose: 'catalogue', id: 'head', prefix: catalogueKeys(prefix).head,
+		type: 'store-list', purpose: 'catalogue', id: 'head', prefix: nameKeys(prefix).head,
 	}];
 }
 
@@ -98,7 +98,7 @@
 		catalogue.watching = true;
 		catalogue.watchId += 1;
 		effects.push({
-			type: 'store-watch', purpose: 'catalogue', id: String(catalogue.watchId), prefix: catalogueKeys(prefix).all, fromRevision: catalogue.viewRevision + 1,
+			type: 'store-watch', purpose: 'catalogue', id: String(catalogue.watchId), prefix: nameKeys(prefix).all, fromRevision: catalogue.viewRevision + 1,
 		});
 	}
 
--- a/packages/core/src/membership/message.ts
+++ b/packages/core/src/membership/message.ts
@@ -2,7 +2,7 @@
  * Messages between members. Every message carries the sender's configuration revision.
  */
 import {z} from 'zod';
-import {entrySchema} from '../catalogue/parse-stored-entry.js';
+import {entrySchema} from '../catalogue/document-schema.js';
 import {maximumRelayed} from '../constants.js';
 
 const countSchema = z.int().min(0);
--- a/packages/core/src/membership/receive-message.ts
+++ b/packages/core/src/membership/receive-message.ts
@@ -1,5 +1,5 @@
 import {type VersionedEntry} from '../catalogue/catalogue-state.js';
-import {acceptEntries} from '../catalogue/refresh-catalogue.js';
+import {acceptEntries} from '../catalogue/accept-entries.js';
 import {announcementIntervalMs} from '../constants.js';
 import {updateFreshness} from '../freshness/update-freshness.js';
 import {type Effect} from '../node/effect.js';
