Keep watch reports in order in the pump, and list member records again

The pump delivered reports of one watch out of order, which one connection never does; members skipped the overtaken reports and kept incomplete lists of members.

A watch that stops without an end would have the same effect on members, so that the records are also listed every 30 s; a member whose record is missing from a listing registers again.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -71,3 +71,9 @@
 
 /** Interval between two announcements to a member that shows a lower revision. */
 export const announcementIntervalMs = 1000;
+
+/** Interval between two listings of the member records; it bounds the effect of a watch that has stopped without an end. */
+export const memberListingIntervalMs = 30_000;
+
+/** Time for which the absence of a member's record is remembered; far longer than the reclaim of its portions takes. */
+export const absenceRetentionMs = 3_600_000;
--- a/packages/core/src/membership/create-membership.ts
+++ b/packages/core/src/membership/create-membership.ts
@@ -39,6 +39,7 @@
 		announcedAt: new Map(),
 		listed: false,
 		listing: false,
+		listedAt: Number.NEGATIVE_INFINITY,
 		watching: false,
 		watchId: 0,
 		viewRevision: 0,
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -67,6 +67,8 @@
 	readonly announcedAt: Map<string, number>;
 	listed: boolean;
 	listing: boolean;
+	/** When the records were last listed. */
+	listedAt: number;
 	watching: boolean;
 	watchId: number;
 	viewRevision: number;
--- a/packages/core/src/membership/receive-member-listing.ts
+++ b/packages/core/src/membership/receive-member-listing.ts
@@ -1,3 +1,4 @@
+import {absenceRetentionMs} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
@@ -23,9 +24,21 @@
 	}
 
 	membership.listed = true;
+	membership.listedAt = at;
 	membership.viewRevision = outcome.value.revision;
 	const keys = new Set(outcome.value.entries.map(entry => entry.key));
 	const prefix = `${membership.registration.prefix ?? ''}members/`;
+	if (!keys.has(`${prefix}${node.id}`)) {
+		// A store restored from an older state may have the lease but not the record.
+		membership.registration.registered = false;
+	}
+
+	for (const [id, since] of membership.absentSince) {
+		if (at - since > absenceRetentionMs) {
+			membership.absentSince.delete(id);
+		}
+	}
+
 	const missing = [...membership.records.keys()].map(id => `${prefix}${id}`).filter(key => !keys.has(key));
 	return recordMembers(node, [...outcome.value.entries, ...missing.map(key => ({key, modRevision: 0}))], at);
 }
--- a/packages/core/src/membership/tick-membership.ts
+++ b/packages/core/src/membership/tick-membership.ts
@@ -1,4 +1,4 @@
-import {memberLeaseTtlMs} from '../constants.js';
+import {memberLeaseTtlMs, memberListingIntervalMs} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
 import {updateFreshness} from '../freshness/update-freshness.js';
@@ -46,10 +46,11 @@
 	}];
 }
 
-function followMembers(node: Node): Effect[] {
+function followMembers(node: Node, at: number): Effect[] {
 	const {membership} = node;
 	const prefix = `${membership.registration.prefix ?? ''}members/`;
-	if (!membership.listed && !membership.listing) {
+	const due = !membership.listed || at - membership.listedAt >= memberListingIntervalMs;
+	if (due && !membership.listing) {
 		membership.listing = true;
 		return [{
 			type: 'store-list', purpose: 'member', id: 'members', prefix,
@@ -106,5 +107,5 @@
 		return [];
 	}
 
-	return [...renewLease(node, event.at), ...followMembers(node)];
+	return [...renewLease(node, event.at), ...followMembers(node, event.at)];
 }
--- a/packages/measure/src/control-pump.test.ts
+++ b/packages/measure/src/control-pump.test.ts
@@ -105,6 +105,20 @@
 	assert.deepEqual(fresh, ['entry-0', 'entry-1', 'entry-2', 'entry-3', 'entry-4', 'entry-5', 'entry-6']);
 });
 
+test('registers again when the store was restored without the member records', () => {
+	const pump = startControl(user, {seed: 1});
+	pump.storeCondition = {down: true};
+	pump.run(pump.now + 1000);
+	const backup = pump.store.snapshot();
+	pump.store.restore({...backup, entries: backup.entries.filter(entry => !entry.key.startsWith(`${prefix}members/`))});
+	pump.storeCondition = {};
+	pump.run(pump.now + 5000);
+	assert.equal(pump.store.list(`${prefix}members/`).entries.length, 8);
+	for (const node of pump.nodes.values()) {
+		assert.equal(node.membership.records.size, 8);
+	}
+});
+
 test('lists the members that do not have a change', () => {
 	const pump = startControl(user, {seed: 1});
 	pump.cut(['entry-7'], pump.cutOff);
--- a/packages/measure/src/store-driver.ts
+++ b/packages/measure/src/store-driver.ts
@@ -38,8 +38,11 @@
 	watch(nodeId: string, effect: Pick<EffectOf<'store-watch'>, 'purpose' | 'id' | 'prefix' | 'fromRevision'>): void {
 		const {purpose, id, prefix, fromRevision} = effect;
 		const node = this.#pump.nodes.get(nodeId);
+		// A watch is one connection, so that its reports keep their order.
+		let deliverAt = 0;
 		const report = (value: WatchReport): void => {
-			this.#pump.after(this.#pump.networkDelay(), () => {
+			deliverAt = Math.max(deliverAt, this.#pump.now + this.#pump.networkDelay());
+			this.#pump.at(deliverAt, () => {
 				if (this.#pump.nodes.get(nodeId) === node) {
 					this.#pump.deliver(nodeId, {
 						type: 'store-watched', purpose, id, report: value,
