Compare values as well as revisions, and correct the store before listing it again

Cause: a store restored from an older state counts its revisions again, so that a transaction built before the restore could hold on other values.

An edit made on the old head keeps its request identifier when it is taken over.

--- a/packages/core/src/catalogue/build-correction.test.ts
+++ b/packages/core/src/catalogue/build-correction.test.ts
@@ -48,6 +48,10 @@
 		name: 'restored, then edited on the old head', store: {head: formatHead(1, 'r'), a, b: newer},
 		writes: {b: 'revision 2', rejectedB: 'revision 1', head: 'revision 2'},
 	},
+	{
+		name: 'restored, then another entry edited on the old head', store: {head: formatHead(2, 'r'), a, c: formatEntry(entry('c', 2, {requestId: 'other'}))},
+		writes: {b: 'revision 3', c: 'revision 3', head: 'revision 3'},
+	},
 	{name: 'restored to nothing', store: {}, writes: {a: 'revision 1', b: 'revision 2', head: 'revision 2'}},
 	{
 		name: 'valid direct write', store: {
--- a/packages/core/src/catalogue/build-correction.ts
+++ b/packages/core/src/catalogue/build-correction.ts
@@ -4,6 +4,7 @@
 import {maximumCorrections} from '../constants.js';
 import {type Entry, type Operation, type Transaction} from '../store/transaction.js';
 import {applyEntries} from './apply-entries.js';
+import {compareWithView} from './compare-with-view.js';
 import {createEditedEntry} from './create-edited-entry.js';
 import {nameKeys} from './name-keys.js';
 import {rankSection} from './rank-section.js';
@@ -24,6 +25,10 @@
 };
 
 function toEntry(write: DirectWrite, revision: number, requestId: string, accepted: Accepted): VersionedEntry {
+	if (write.entry !== undefined) {
+		return {...write.entry, revision};
+	}
+
 	const [section, name = ''] = write.path.split('/');
 	return createEditedEntry({
 		requestId: `${requestId}-${write.path}`, operator: directOperator, section: section as Section, name, value: write.value,
@@ -112,7 +117,7 @@
 	const compared = new Set([keys.head, ...[...writes.keys()].filter(key => !key.startsWith(keys.rejected))]);
 	const success: Operation[] = [...writes].map(([key, value]) => (value === undefined ? {type: 'delete', key} : {type: 'put', key, value}));
 	return {
-		transaction: {compare: [...compared].map(key => ({key, modRevision: view.get(key)?.modRevision ?? 0})), success, failure: []},
+		transaction: {compare: [...compared].map(key => compareWithView(view, key)), success, failure: []},
 		...counts,
 		restored: restored.length,
 	};
--- a/packages/core/src/catalogue/build-edit.ts
+++ b/packages/core/src/catalogue/build-edit.ts
@@ -1,6 +1,7 @@
 import {type Entry, type Transaction} from '../store/transaction.js';
 import {type VersionedEntry} from './catalogue-state.js';
 import {nameKeys} from './name-keys.js';
+import {compareWithView} from './compare-with-view.js';
 import {formatEntry} from './format-entry.js';
 import {formatHead} from './format-head.js';
 
@@ -19,10 +20,7 @@
 	const keys = nameKeys(prefix);
 	const key = `${keys.sections}${entry.path}`;
 	return {
-		compare: [
-			{key: keys.head, modRevision: view.get(keys.head)?.modRevision ?? 0},
-			{key, modRevision: view.get(key)?.modRevision ?? 0},
-		],
+		compare: [compareWithView(view, keys.head), compareWithView(view, key)],
 		success: [
 			{type: 'put', key, value: formatEntry(entry)},
 			{type: 'put', key: keys.head, value: formatHead(entry.revision, entry.requestId)},
--- a/packages/core/src/catalogue/reconcile-store.ts
+++ b/packages/core/src/catalogue/reconcile-store.ts
@@ -10,7 +10,13 @@
 import {parseStoredEntry} from './parse-stored-entry.js';
 
 /** A value written without the catalogue's transaction; `value` is `null` for a deletion. */
-export type DirectWrite = {readonly path: string; readonly value: unknown; readonly malformed?: string};
+export type DirectWrite = {
+	readonly path: string;
+	readonly value: unknown;
+	readonly malformed?: string;
+	/** Document of an edit that was made on a store restored from an older state; it keeps its request identifier. */
+	readonly entry?: VersionedEntry;
+};
 
 /** What follows from the store's entries. */
 export type Reconciliation = {
@@ -33,7 +39,7 @@
 	const knownRevision = known?.revision ?? 0;
 	if (stored.revision > knownRevision) {
 		// An unknown entry at or below the accepted revision was written to a store restored from an older state.
-		return stored.revision > acceptedRevision ? {newer: stored} : {direct: {path: stored.path, value: stored.value}};
+		return stored.revision > acceptedRevision ? {newer: stored} : {direct: {path: stored.path, value: stored.value, entry: stored}};
 	}
 
 	if (known === undefined || stored.revision < knownRevision) {
--- a/packages/core/src/catalogue/tick-catalogue.ts
+++ b/packages/core/src/catalogue/tick-catalogue.ts
@@ -11,6 +11,9 @@
 /** Time that the watch has to deliver a revision that was seen elsewhere before the store is listed. */
 const watchLagMs = 200;
 
+/** Shortest time between two listings of the whole catalogue. */
+const listingPauseMs = 200;
+
 /** Interval between further listings for the same revision. */
 const relistIntervalMs = 1000;
 
@@ -22,7 +25,9 @@
 		catalogue.higher = {...higher, listedAt: at};
 	}
 
-	if (catalogue.listing || !(lagging || catalogue.listWanted || !catalogue.listed)) {
+	const wanted = lagging || catalogue.listWanted || !catalogue.listed;
+	// While an old head is corrected, each listing shows the same; the pause keeps them from using up the store.
+	if (catalogue.listing || !wanted || catalogue.correcting !== undefined || (catalogue.listed && at - catalogue.listSentAt < listingPauseMs)) {
 		return [];
 	}
 
@@ -50,7 +55,7 @@
 
 function correctStore(node: Node, prefix: string, at: number): Effect[] {
 	const {catalogue} = node;
-	if (catalogue.correctAt === undefined || catalogue.correctAt > at || catalogue.correcting !== undefined || catalogue.listing) {
+	if (catalogue.correctAt === undefined || catalogue.correctAt > at || catalogue.correcting !== undefined) {
 		return [];
 	}
 
@@ -93,8 +98,8 @@
 		return edits;
 	}
 
-	const effects = [...edits, ...listStore(node, prefix, at)];
-	if (catalogue.listed && !catalogue.watching && !catalogue.listing) {
+	const effects = [...edits, ...correctStore(node, prefix, at), ...listStore(node, prefix, at)];
+	if (catalogue.listed && !catalogue.watching && !catalogue.listing && !catalogue.listWanted) {
 		catalogue.watching = true;
 		catalogue.watchId += 1;
 		effects.push({
@@ -106,6 +111,5 @@
 		effects.push(...readHead(node, prefix, at));
 	}
 
-	effects.push(...correctStore(node, prefix, at));
 	return effects;
 }
--- a/packages/core/src/store/transaction.ts
+++ b/packages/core/src/store/transaction.ts
@@ -11,10 +11,15 @@
 	readonly leaseId?: string;
 };
 
-/** Holds when the key was last modified at `modRevision`; 0 means that the key is absent. */
+/**
+ * Holds when the key was last modified at `modRevision`, 0 for an absent key, and has `value` if that
+ * is given. A store restored from an older state counts its revisions again from there, so that a
+ * revision alone may stand for another value than the one that was seen.
+ */
 export type Comparison = {
 	readonly key: string;
 	readonly modRevision: number;
+	readonly value?: string;
 };
 
 export type Operation =
--- a/packages/measure/src/experiments/never-reverts.ts
+++ b/packages/measure/src/experiments/never-reverts.ts
@@ -1,8 +1,12 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type Accepted} from '@rosemaryquay/core/catalogue/catalogue-state';
+import {parseHead} from '@rosemaryquay/core/catalogue/parse-head';
 import {isFresh} from '@rosemaryquay/core/freshness/is-fresh';
 import {checkBound} from '../check-bound.js';
-import {type ControlPump, revisionOf, startControl} from '../control-pump.js';
+import {
+	type ControlPump, prefix, revisionOf, startControl,
+} from '../control-pump.js';
 import {type Experiment} from '../experiment.js';
 import {listUsers, loadUser, type User} from '../load-user.js';
 
@@ -11,6 +15,9 @@
 const quietMs = 10_000;
 const probeIntervalMs = 10;
 
+/** Time in which an accepted configuration is in force everywhere. */
+const spreadLimitMs = 3000;
+
 type Submitted = {readonly requestId: string; readonly path: string; readonly revisionBefore: number};
 
 type Outcome = {
@@ -22,18 +29,25 @@
 	unresolved: number;
 	disagreeing: number;
 	corrections: number;
+	/** Longest time for which a reachable store showed an older head than an instance had in force. */
+	heldBackMs: number;
 };
 
 class Run {
 	lower = 0;
 	startedBehind = 0;
+	heldBackMs = 0;
 	readonly pump: ControlPump;
 	readonly user: User;
 	readonly edits: Submitted[] = [];
 	readonly #random;
 	readonly #seen = new Map<string, number>();
 	readonly #zones: readonly string[];
+	readonly #accepted = new Map<string, Accepted>();
+	readonly #replaced = new Map<string, string>();
 	#everywhere = 0;
+	#highest = 0;
+	#behindSince: number | undefined;
 	#started = 0;
 
 	constructor(user: User, seed: number) {
@@ -60,7 +74,9 @@
 			this.#restore();
 		});
 		this.#repeat(begin, 4000, () => {
-			this.pump.storeCondition = {loseAnswers: this.pump.chance(0.5) ? 0.2 : 0};
+			if (this.pump.storeCondition.down !== true) {
+				this.pump.storeCondition = {loseAnswers: this.pump.chance(0.5) ? 0.2 : 0};
+			}
 		});
 		const probe = (): void => {
 			this.#probe();
@@ -81,12 +97,10 @@
 		const results = this.edits.map(edit => ({...edit, answer: this.pump.edits.get(edit.requestId)}));
 		const accepted = results.filter(({answer}) => answer?.result.type === 'accepted');
 		let lost = 0;
-		for (const {requestId, path, answer} of accepted) {
+		for (const {requestId, path} of accepted) {
 			const entry = entries?.get(path);
-			const successor = accepted.find(other => other.requestId === entry?.requestId);
-			// An edit that a later accepted one replaced is not lost.
-			const replaced = successor !== undefined && (successor.answer?.at ?? 0) >= (answer?.at ?? 0);
-			if (entry?.requestId !== requestId && !replaced) {
+			// An edit that a later one replaced, knowing it, is not lost.
+			if (entry === undefined || !this.#descendsFrom(entry.requestId, requestId)) {
 				lost += 1;
 			}
 		}
@@ -106,6 +120,7 @@
 			conflicts: count('conflict'),
 			unresolved: results.length - accepted.length - count('conflict'),
 			disagreeing: revisions.size - 1,
+			heldBackMs: this.heldBackMs,
 			corrections: this.pump.counters.get('catalogue.corrected') ?? 0,
 		};
 	}
@@ -174,13 +189,47 @@
 				this.startedBehind += 1;
 			}
 
+			if (this.#accepted.get(id) !== node.catalogue.accepted) {
+				this.#accepted.set(id, node.catalogue.accepted);
+				this.#recordHistory(node.catalogue.accepted);
+			}
+
 			this.#seen.set(id, revision);
 			lowest = Math.min(lowest, revision);
+			this.#highest = Math.max(this.#highest, revision);
+		}
+
+		const head = parseHead(this.pump.store.entries.get(`${prefix}catalogue/head`)?.value);
+		if (head < this.#highest && this.pump.storeCondition.down !== true) {
+			this.#behindSince ??= this.pump.now;
+			this.heldBackMs = Math.max(this.heldBackMs, this.pump.now - this.#behindSince);
+		} else {
+			this.#behindSince = undefined;
 		}
 
 		this.#everywhere = Math.max(this.#everywhere, lowest);
 	}
 
+	/** Records which edit each edit of an entry replaced. */
+	#recordHistory(accepted: Accepted): void {
+		for (const {requestId, earlier} of accepted.entries.values()) {
+			let later = requestId;
+			for (const replaced of earlier) {
+				this.#replaced.set(later, replaced);
+				later = replaced;
+			}
+		}
+	}
+
+	#descendsFrom(last: string, requestId: string): boolean {
+		let current: string | undefined = last;
+		while (current !== undefined && current !== requestId) {
+			current = this.#replaced.get(current);
+		}
+
+		return current !== undefined;
+	}
+
 	#next(size: number): number {
 		return uniformInt(this.#random, 0, size - 1);
 	}
@@ -217,6 +266,8 @@
 				checkBound('processes ready with a revision below one that was in force everywhere', sum('startedBehind'), {...target, unit: 'probes'}),
 				checkBound('accepted edits lost', sum('lost'), {...target, unit: 'edits'}),
 				checkBound('instances that disagree at the end', sum('disagreeing'), {...target, unit: 'instances'}),
+				// Guards against members that hinder each other, or themselves, in writing lost entries back.
+				checkBound('longest time that a reachable store shows an older head', Math.max(...Object.values(details).flat().map(outcome => outcome.heldBackMs)), {comparison: 'atMost', limit: spreadLimitMs, unit: 'ms'}),
 				checkBound('edits accepted', sum('accepted'), {comparison: 'atLeast', limit: 1, unit: 'edits'}),
 			],
 			baselines: [],
--- a/packages/platform/src/etcd-store.ts
+++ b/packages/platform/src/etcd-store.ts
@@ -5,7 +5,7 @@
 import {Pool} from 'undici';
 import {z} from 'zod';
 import {
-	type Change, type Entry, type Listing, type Operation, type StoreFailure, type StoreOutcome, type Transaction, type TransactionResult,
+	type Change, type Comparison, type Entry, type Listing, type Operation, type StoreFailure, type StoreOutcome, type Transaction, type TransactionResult,
 } from '@rosemaryquay/core/store/transaction';
 import {CallBudget} from './call-budget.js';
 import {type Store, type WatchEvent} from './store.js';
@@ -68,6 +68,12 @@
 	return {request_put: {key, value: encode(operation.value), ...(operation.leaseId !== undefined && {lease: operation.leaseId})}};
 }
 
+function encodeComparison({key, modRevision, value}: Comparison): Array<Record<string, unknown>> {
+	const common = {key: encode(key), result: 'EQUAL'};
+	const comparisons: Array<Record<string, unknown>> = [{...common, target: 'MOD', mod_revision: String(modRevision)}];
+	return value === undefined ? comparisons : [...comparisons, {...common, target: 'VALUE', value: encode(value)}];
+}
+
 /** Errors of calls that cannot have reached the store. */
 const unsentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
@@ -107,9 +113,7 @@
 
 	async transact(transaction: Transaction): Promise<StoreOutcome<TransactionResult>> {
 		const outcome = await this.#call('/v3/kv/txn', {
-			compare: transaction.compare.map(({key, modRevision}) => ({
-				key: encode(key), target: 'MOD', result: 'EQUAL', mod_revision: String(modRevision),
-			})),
+			compare: transaction.compare.flatMap(comparison => encodeComparison(comparison)),
 			success: transaction.success.map(operation => encodeOperation(operation)),
 			failure: transaction.failure.map(operation => encodeOperation(operation)),
 		}, transactionSchema);
--- a/packages/testing/src/store-contract.test.ts
+++ b/packages/testing/src/store-contract.test.ts
@@ -44,6 +44,18 @@
 		assert.ok(second.ok && !second.value.succeeded);
 		assert.equal(second.value.entries[0]?.value, '1');
 	},
+	async 'compares values where a restored store counts its revisions again'({store, server}) {
+		const backup = server.model.snapshot();
+		server.model.put('k/a', 'before');
+		const {modRevision = 0} = server.model.entries.get('k/a') ?? {};
+		server.restore(backup);
+		server.model.put('k/a', 'after');
+		assert.equal(server.model.entries.get('k/a')?.modRevision, modRevision);
+		const outcome = await store.transact({compare: [{key: 'k/a', modRevision, value: 'before'}], success: [{type: 'delete', key: 'k/a'}], failure: []});
+		assert.ok(outcome.ok && !outcome.value.succeeded);
+		const second = await store.transact({compare: [{key: 'k/a', modRevision, value: 'after'}], success: [{type: 'delete', key: 'k/a'}], failure: []});
+		assert.ok(second.ok && second.value.succeeded);
+	},
 	async 'says that a call did not reach a closed store'({store, server}) {
 		await server.stop();
 		const outcome = await store.transact(put('k/a', '1'));
--- a/packages/testing/src/store-model.ts
+++ b/packages/testing/src/store-model.ts
@@ -3,7 +3,7 @@
  * Time is an argument, so that it serves the HTTP stand-in and experiments on virtual time alike.
  */
 import {
-	type Change, type Entry, type Listing, type Operation, type Transaction, type TransactionResult,
+	type Change, type Comparison, type Entry, type Listing, type Operation, type Transaction, type TransactionResult,
 } from '@rosemaryquay/core/store/transaction';
 
 type Lease = {readonly id: string; readonly ttlMs: number; expiresAt: number; readonly keys: Set<string>};
@@ -28,8 +28,12 @@
 		return {revision: this.revision, entries};
 	}
 
-	transact(transaction: Transaction): TransactionResult {
-		const succeeded = transaction.compare.every(({key, modRevision}) => (this.entries.get(key)?.modRevision ?? 0) === modRevision);
+	/** A comparison without `modRevision` is one of the gateway's by value alone. */
+	transact(transaction: Omit<Transaction, 'compare'> & {readonly compare: ReadonlyArray<Partial<Comparison> & {readonly key: string}>}): TransactionResult {
+		const succeeded = transaction.compare.every(({key, modRevision, value}) => {
+			const entry = this.entries.get(key);
+			return (modRevision === undefined || (entry?.modRevision ?? 0) === modRevision) && (value === undefined || entry?.value === value);
+		});
 		const operations = succeeded ? transaction.success : transaction.failure;
 		const changes: Change[] = [];
 		const entries: Array<Entry | undefined> = [];
--- a/packages/testing/src/store-server.ts
+++ b/packages/testing/src/store-server.ts
@@ -31,7 +31,7 @@
 	request_range?: {key: string};
 };
 
-type GatewayComparison = {key: string; mod_revision?: string};
+type GatewayComparison = {key: string; target?: string; mod_revision?: string; value?: string};
 
 const encode = (text: string): string => Buffer.from(text).toString('base64');
 const decode = (text: unknown): string => Buffer.from(String(text), 'base64').toString();
@@ -76,7 +76,9 @@
 		const success = ((call.success ?? []) as GatewayOperation[]).map(operation => decodeOperation(operation));
 		const failure = ((call.failure ?? []) as GatewayOperation[]).map(operation => decodeOperation(operation));
 		const result = model.transact({
-			compare: compare.map(({key, mod_revision: revision = '0'}) => ({key: decode(key), modRevision: Number(revision)})),
+			compare: compare.map(({
+				key, target, mod_revision: revision = '0', value,
+			}) => (target === 'VALUE' ? {key: decode(key), value: decode(value)} : {key: decode(key), modRevision: Number(revision)})),
 			success,
 			failure,
 		});
