Let a shutdown give up the member lease before the store client closes

Cause: the connection pool was closed while the revocation was in flight, so that the member record stayed until its lease lapsed.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -22,6 +22,9 @@
 /** Renewals of a task lease within its time to live. */
 const renewalsPerLease = 3;
 
+/** Time that a shutdown waits for the store to take back leases; otherwise they lapse by themselves. */
+const revocationTimeoutMs = 1000;
+
 /** Time that the start waits for the catalogue before callers are let in; until it is there they are refused. */
 const catalogueTimeoutMs = 3000;
 
@@ -92,6 +95,7 @@
 		this.#dispatch({type: 'shutdown-requested', at: this.#host.now()});
 		await Promise.race([finished, delay(this.#settings.limits.shutdownMs, undefined, {ref: false})]);
 		const unfinished = this.#host.exchanges.size;
+		await Promise.race([Promise.allSettled(this.#host.revocations), delay(revocationTimeoutMs, undefined, {ref: false})]);
 		await this.close();
 		this.#logger.log(unfinished === 0 ? 'process-shutdown-finished' : 'process-shutdown-forced', {requests: unfinished});
 		return unfinished;
@@ -123,6 +127,7 @@
 			flights: new Map(),
 			answers: new Map(),
 			watches: new Map(),
+			revocations: new Set(),
 			workers: new WorkerClient({holder: this.#member, answerBytes: limits.answerBytes}),
 			store: new EtcdStore({url: store.url}),
 			prefix: store.prefix,
--- a/packages/daemon/src/host.ts
+++ b/packages/daemon/src/host.ts
@@ -31,6 +31,8 @@
 	readonly answers: Map<string, Answer>;
 	/** Functions that end the watches of the store, by purpose and identifier. */
 	readonly watches: Map<string, () => void>;
+	/** Calls that give up leases; a shutdown waits for them. */
+	readonly revocations: Set<Promise<unknown>>;
 	readonly workers: WorkerClient;
 	readonly store: Store;
 	/** Prefix of the system's keys in the store. */
--- a/packages/daemon/src/performers/call-lease.ts
+++ b/packages/daemon/src/performers/call-lease.ts
@@ -29,7 +29,13 @@
  */
 export async function callLease(host: Host, effect: EffectOf<'store-lease'>): Promise<void> {
 	const {purpose, id, operation} = effect;
-	const outcome = await calls[operation](host, effect);
+	const call = calls[operation](host, effect);
+	if (operation === 'revoke') {
+		host.revocations.add(call);
+	}
+
+	const outcome = await call;
+	host.revocations.delete(call);
 	host.dispatch({
 		type: 'store-leased', at: host.now(), purpose, id, operation, outcome,
 	});
