--- a/packages/core/src/catalogue/reconcile-store.ts
+++ b/packages/core/src/catalogue/reconcile-store.ts
@@ -2,12 +2,21 @@
  * Comparison of the accepted catalogue with what the store shows.
  */
 import {type Entry} from '../store/transaction.js';
-import {catalogueKeys, isEntryPath} from './catalogue-keys.js';
+import {nameKeys} from './name-keys.js';
+import {isEntryPath} from './is-entry-path.js';
 import {type Accepted, type VersionedEntry} from './catalogue-state.js';
-import {parseHead, parseStoredEntry} from './parse-stored-entry.js';
+import {formatEntry} from './format-entry.js';
+import {parseHead} from './parse-head.js';
+import {parseStoredEntry} from './parse-stored-entry.js';
 
 /** A value written without the catalogue's transaction; `value` is `null` for a deletion. */
-export type DirectWrite = {readonly path: string; readonly value: unknown; readonly malformed?: string};
+export type DirectWrite = {
+	readonly path: string;
+	readonly value: unknown;
+	readonly malformed?: string;
+	/** Document of an edit that was made on a store restored from an older state; it keeps its request identifier. */
+	readonly entry?: VersionedEntry;
+};
 
 /** What follows from the store's entries. */
 export type Reconciliation = {
@@ -30,7 +39,7 @@
 	const knownRevision = known?.revision ?? 0;
 	if (stored.revision > knownRevision) {
 		// An unknown entry at or below the accepted revision was written to a store restored from an older state.
-		return stored.revision > acceptedRevision ? {newer: stored} : {direct: {path: stored.path, value: stored.value}};
+		return stored.revision > acceptedRevision ? {newer: stored} : {direct: {path: stored.path, value: stored.value, entry: stored}};
 	}
 
 	if (known === undefined || stored.revision < knownRevision) {
@@ -57,6 +66,10 @@
 		return known.value === null ? {} : {direct: {path, value: null}};
 	}
 
+	if (known !== undefined && text === formatEntry(known)) {
+		return {};
+	}
+
 	const stored = parseStoredEntry(path, text);
 	if (stored.type === 'versioned') {
 		return compareVersioned(stored.entry, known, revisions.accepted, revisions.head);
@@ -88,7 +101,7 @@
  * const {newer, lost, direct} = reconcileStore(accepted, view, 'rosemaryquay/');
  */
 export function reconcileStore(accepted: Accepted, view: ReadonlyMap<string, Entry>, prefix: string, changed?: readonly string[]): Reconciliation {
-	const keys = catalogueKeys(prefix);
+	const keys = nameKeys(prefix);
 	const headRevision = parseHead(view.get(keys.head)?.value);
 	const paths = changed ?? listPaths(accepted, view, keys.sections);
 
--- a/packages/core/src/catalogue/tick-catalogue.ts
+++ b/packages/core/src/catalogue/tick-catalogue.ts
@@ -1,23 +1,33 @@
-import {confirmationIntervalMs, maximumConfirmationsPerSecond, millisecondsPerSecond} from '../constants.js';
+import {
+	confirmationIntervalMs, maximumConfirmationsPerSecond, millisecondsPerSecond, summaryRetentionMs,
+} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type Node} from '../node/node.js';
 import {buildCorrection} from './build-correction.js';
-import {catalogueKeys} from './catalogue-keys.js';
+import {nameKeys} from './name-keys.js';
 import {reconcileStore} from './reconcile-store.js';
 import {retryEdits} from './retry-edits.js';
 
 /** Time that the watch has to deliver a revision that was seen elsewhere before the store is listed. */
 const watchLagMs = 200;
 
+/** Shortest time between two listings of the whole catalogue. */
+const listingPauseMs = 200;
+
+/** Interval between further listings for the same revision. */
+const relistIntervalMs = 1000;
+
 function listStore(node: Node, prefix: string, at: number): Effect[] {
 	const {catalogue} = node;
 	const {higher} = catalogue;
-	const lagging = higher !== undefined && higher.revision > catalogue.accepted.revision && at - higher.seenAt >= watchLagMs;
+	const lagging = higher !== undefined && higher.revision > catalogue.accepted.revision && at - higher.shownAt <= summaryRetentionMs && at - higher.listedAt >= (higher.listedAt === higher.seenAt ? watchLagMs : relistIntervalMs);
 	if (lagging) {
-		catalogue.higher = {...higher, seenAt: at};
+		catalogue.higher = {...higher, listedAt: at};
 	}
 
-	if (catalogue.listing || !(lagging || catalogue.listWanted || !catalogue.listed)) {
+	const wanted = lagging || catalogue.listWanted || !catalogue.listed;
+	// While an old head is corrected, each listing shows the same; the pause keeps them from using up the store.
+	if (catalogue.listing || !wanted || catalogue.correcting !== undefined || (catalogue.listed && at - catalogue.listSentAt < listingPauseMs)) {
 		return [];
 	}
 
@@ -25,7 +35,7 @@
 	catalogue.listSentAt = at;
 	const effects: Effect[] = catalogue.listed ? [{type: 'count', counter: 'catalogue.relisted'}] : [];
 	return [...effects, {
-		type: 'store-list', purpose: 'catalogue', id: 'all', prefix: catalogueKeys(prefix).all,
+		type: 'store-list', purpose: 'catalogue', id: 'all', prefix: nameKeys(prefix).all,
 	}];
 }
 
@@ -39,13 +49,13 @@
 	catalogue.headAskedAt = at;
 	catalogue.headPendingAt = at;
 	return [{
-		type: 'store-list', purpose: 'catalogue', id: 'head', prefix: catalogueKeys(prefix).head,
+		type: 'store-list', purpose: 'catalogue', id: 'head', prefix: nameKeys(prefix).head,
 	}];
 }
 
 function correctStore(node: Node, prefix: string, at: number): Effect[] {
 	const {catalogue} = node;
-	if (catalogue.correctAt === undefined || catalogue.correctAt > at || catalogue.correcting !== undefined || catalogue.listing) {
+	if (catalogue.correctAt === undefined || catalogue.correctAt > at || catalogue.correcting !== undefined) {
 		return [];
 	}
 
@@ -88,12 +98,12 @@
 		return edits;
 	}
 
-	const effects = [...edits, ...listStore(node, prefix, at)];
-	if (catalogue.listed && !catalogue.watching && !catalogue.listing) {
+	const effects = [...edits, ...correctStore(node, prefix, at), ...listStore(node, prefix, at)];
+	if (catalogue.listed && !catalogue.watching && !catalogue.listing && !catalogue.listWanted) {
 		catalogue.watching = true;
 		catalogue.watchId += 1;
 		effects.push({
-			type: 'store-watch', purpose: 'catalogue', id: String(catalogue.watchId), prefix: catalogueKeys(prefix).all, fromRevision: catalogue.viewRevision + 1,
+			type: 'store-watch', purpose: 'catalogue', id: String(catalogue.watchId), prefix: nameKeys(prefix).all, fromRevision: catalogue.viewRevision + 1,
 		});
 	}
 
@@ -101,6 +111,5 @@
 		effects.push(...readHead(node, prefix, at));
 	}
 
-	effects.push(...correctStore(node, prefix, at));
 	return effects;
 }
--- a/packages/core/src/limits/reuse-slot.ts
+++ b/packages/core/src/limits/reuse-slot.ts
@@ -17,8 +17,8 @@
 	const team = node.limits.released;
 	node.limits.released = undefined;
 	const effects: Effect[] = [];
-	for (const [pool, {byTeam}] of team === undefined || !hasHeadroom(node, team) ? [] : node.shares.pools) {
-		if (team !== undefined && (byTeam.get(team)?.length ?? 0) > 0) {
+	for (const [pool, {accounts}] of team === undefined || !hasHeadroom(node, team) ? [] : node.shares.pools) {
+		if (team !== undefined && (accounts.get(team)?.queued ?? 0) > 0) {
 			effects.push(...dispatchPool(node, pool, event.at));
 		}
 	}
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -66,8 +66,13 @@
 	/** Since when a member's record has been seen absent after it was present. */
 	readonly absentSince: Map<string, number>;
 	readonly registration: Registration;
+	startedAt: number;
+	/** When a member with a lower revision was last told of the higher one. */
+	readonly announcedAt: Map<string, number>;
 	listed: boolean;
 	listing: boolean;
+	/** When the records were last listed. */
+	listedAt: number;
 	watching: boolean;
 	watchId: number;
 	viewRevision: number;
