Measure shares with late teams, longer bulk tasks and message faults

With all teams joining a burst at once, checkpoints for excess made no difference, so that the experiment did not test them. Teams with modest demand now join a pool that others have filled with tasks of 6 s, and messages are lost and duplicated.

--- a/packages/measure/src/experiments/fair-share.ts
+++ b/packages/measure/src/experiments/fair-share.ts
@@ -15,11 +15,15 @@
 const sampleMs = 50;
 const burstMs = 20_000;
 const gapMs = 12_000;
+/** Teams with modest demand join a burst up to this time after its start, when the others fill the pool. */
+const latestJoinMs = 8000;
+/** Faults of the messages between instances. */
+const delivery = {jitterMs: 20, drop: 0.05, duplicate: 0.02};
 /** A queue requests five times its mean in a burst, which is this part of its pool's capacity. */
-const burstLoad = 1.5;
+const burstLoad = 2;
 const burstFactor = 5;
 const idleFactor = 1 / 20;
-const meanRunMs = {urgent: 120, standard: 400, bulk: 3000} as const;
+const meanRunMs = {urgent: 120, standard: 400, bulk: 6000} as const;
 /** Demand of the first teams of a burst in parts of their share by weight; the others make up the burst. */
 const modestDemands = [0.4, 0.7, 1];
 
@@ -33,16 +37,16 @@
 }
 
 /** Demand of each team in a burst, in parts of the pool's capacity. */
-function createDemand(user: User, random: Random): Map<string, number> {
+function createDemand(user: User, random: Random): Map<string, {part: number; isModest: boolean}> {
 	const teams = shuffle(Object.entries(user.catalogue.teams), random);
 	const weights = teams.reduce((sum, [, team]) => sum + team.share, 0);
-	const demand = new Map<string, number>();
+	const demand = new Map<string, {part: number; isModest: boolean}>();
 	let left = burstLoad;
 	let weightLeft = weights;
 	for (const [index, [name, team]] of teams.entries()) {
 		const modest = modestDemands[index];
 		const part = modest === undefined ? (left * team.share) / weightLeft : (modest * team.share) / weights;
-		demand.set(name, part);
+		demand.set(name, {part, isModest: modest !== undefined});
 		left -= part;
 		weightLeft -= team.share;
 	}
@@ -59,14 +63,15 @@
 		const burstAt = index * (burstMs + gapMs);
 		const meanRun = meanRunMs[entry.class];
 		const capacity = slotsOf(user, user.catalogue.services[entry.service]?.pool ?? '');
-		for (const [team, part] of createDemand(user, random)) {
+		for (const [team, {part, isModest}] of createDemand(user, random)) {
 			const perSecond = (part * capacity * 1000) / meanRun;
 			const all = shuffle(Array.from({length: user.fleet.entryInstances}, (_, id) => id), random);
 			const reached = all.slice(0, 1 + Math.floor(random() * all.length));
+			const joinsAt = burstAt + (isModest ? random() * latestJoinMs : 0);
 			streams.push({
-				queue, team, fromMs: burstAt, untilMs: burstAt + burstMs, perSecond, meanRunMs: meanRun, entries: reached,
+				queue, team, fromMs: joinsAt, untilMs: burstAt + burstMs, perSecond, meanRunMs: meanRun, entries: reached,
 			});
-			for (const [fromMs, untilMs] of [[0, burstAt], [burstAt + burstMs, endMs]] as const) {
+			for (const [fromMs, untilMs] of [[0, joinsAt], [burstAt + burstMs, endMs]] as const) {
 				streams.push({
 					queue, team, fromMs, untilMs, perSecond: (perSecond / burstFactor) * idleFactor, meanRunMs: meanRun, entries: all,
 				});
@@ -151,7 +156,7 @@
 
 function runReducers(user: User, requests: readonly Request[], options: {seed: number; endMs: number}): {changes: Change[]; counters: Record<string, number>} {
 	const {seed, endMs} = options;
-	const {pump} = createScenario(user, requests, {seed});
+	const {pump} = createScenario(user, requests, {seed, delivery});
 	pump.run(endMs);
 	const started = new Map<string, {taskId: string; at: number}>();
 	const intervals: Interval[] = [];
