--- a/packages/measure/src/run-slots.ts
+++ b/packages/measure/src/run-slots.ts
@@ -5,32 +5,17 @@
 /** Time in which a request occupied a slot. */
 export type Interval = {readonly id: string; readonly from: number; readonly until: number};
 
-type Lane = {free: number; readonly running: Map<string, number>; readonly waiting: Request[]};
+/** Requests of one team in a lane; those from `head` on wait. */
+type Line = {readonly requests: Request[]; head: number; running: number};
 
-type Method = 'first come first served' | 'static split';
-
-/** Index of the waiting request that a lane starts next. */
-const choosers: Readonly<Record<Method, (user: User, lane: Lane) => number>> = {
-	'first come first served': () => 0,
-	'static split'(user, lane) {
-		let best = 0;
-		let lowest = Number.POSITIVE_INFINITY;
-		const seen = new Set<string>();
-		for (const [index, {team}] of lane.waiting.entries()) {
-			const use = (lane.running.get(team) ?? 0) / (user.catalogue.teams[team]?.share ?? 1);
-			if (!seen.has(team) && use < lowest) {
-				best = index;
-				lowest = use;
-			}
+type Lane = {free: number; readonly lines: Map<string, Line>};
 
-			seen.add(team);
-			if (seen.size === Object.keys(user.catalogue.teams).length) {
-				break;
-			}
-		}
+type Method = 'first come first served' | 'static split';
 
-		return best;
-	},
+/** Rank of a team's first waiting request; the lowest starts next. */
+const ranks: Readonly<Record<Method, (request: Request, line: Line, weight: number) => number>> = {
+	'first come first served': request => request.at,
+	'static split': (_request, line, weight) => line.running / weight,
 };
 
 /**
@@ -51,33 +36,50 @@
 	const lanes = new Map<string, Lane>();
 	const intervals: Interval[] = [];
 	const ends = new Map<string, number>();
-	const running = new Heap<{until: number; lane: Lane; team: string}>((a, b) => a.until - b.until);
+	const running = new Heap<{until: number; lane: Lane; line: Line}>((a, b) => a.until - b.until);
 
 	const findLane = ({pool, entry}: Request): Lane => {
 		const key = `${pool}/${parts === 1 ? 0 : entry}`;
 		let lane = lanes.get(key);
 		if (lane === undefined) {
 			const slots = user.instances.filter(instance => instance.pool === pool).length * (user.catalogue.pools[pool]?.limits.slotsPerInstance ?? 0);
-			lane = {free: Math.floor(slots / parts), running: new Map(), waiting: []};
+			lane = {free: Math.floor(slots / parts), lines: new Map()};
 			lanes.set(key, lane);
 		}
 
 		return lane;
 	};
 
+	const chooseLine = (lane: Lane): Line | undefined => {
+		let best: Line | undefined;
+		let lowest = Number.POSITIVE_INFINITY;
+		for (const [team, line] of lane.lines) {
+			const first = line.requests[line.head];
+			const rank = first === undefined ? Number.POSITIVE_INFINITY : ranks[method](first, line, user.catalogue.teams[team]?.share ?? 1);
+			if (rank < lowest) {
+				best = line;
+				lowest = rank;
+			}
+		}
+
+		return best;
+	};
+
 	const startWaiting = (lane: Lane, at: number): void => {
-		while (lane.free > 0 && lane.waiting.length > 0) {
-			const [request] = lane.waiting.splice(choosers[method](user, lane), 1);
-			if (request === undefined) {
+		while (lane.free > 0) {
+			const line = chooseLine(lane);
+			const request = line?.requests[line.head];
+			if (line === undefined || request === undefined) {
 				return;
 			}
 
 			const until = at + request.runMs;
 			lane.free -= 1;
-			lane.running.set(request.team, (lane.running.get(request.team) ?? 0) + 1);
+			line.head += 1;
+			line.running += 1;
 			intervals.push({id: request.id, from: at, until});
 			ends.set(request.id, until);
-			running.push({until, lane, team: request.team});
+			running.push({until, lane, line});
 		}
 	};
 
@@ -85,7 +87,7 @@
 		for (let next = running.peek(); next !== undefined && next.until <= at; next = running.peek()) {
 			running.pop();
 			next.lane.free += 1;
-			next.lane.running.set(next.team, (next.lane.running.get(next.team) ?? 1) - 1);
+			next.line.running -= 1;
 			startWaiting(next.lane, next.until);
 		}
 	};
@@ -93,7 +95,9 @@
 	for (const request of requests) {
 		finishUntil(request.at);
 		const lane = findLane(request);
-		lane.waiting.push(request);
+		const line = lane.lines.get(request.team) ?? {requests: [], head: 0, running: 0};
+		line.requests.push(request);
+		lane.lines.set(request.team, line);
 		startWaiting(lane, request.at);
 	}
 
