Checkpoint for shares only where the deadline leaves room

A checkpointed task that waited past its deadline lost its progress. Bulk tasks whose deadline is nearer than their expected run time and 4 s now keep their slot.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -75,3 +75,6 @@
 
 /** Wait of a checkpointed task after its worker had no free slot. */
 export const resumeBackoffMs = 50;
+
+/** Wait that a checkpointed task must have room for before its deadline; most resume within a few seconds. */
+export const checkpointWaitMs = 4000;
--- a/packages/core/src/shares/plan-shares.ts
+++ b/packages/core/src/shares/plan-shares.ts
@@ -49,6 +49,23 @@
 	return all <= 0 ? 0 : (share * own) / all;
 }
 
+function updateParts(pool: PoolShares, shares: ReadonlyMap<string, number>, elsewhere: Elsewhere): void {
+	for (const [team, account] of pool.accounts) {
+		const own = account.running + account.queued;
+		const ownUrgent = account.urgent + (pool.flows.get(`${team}/urgent`)?.tasks.length ?? 0);
+		const others = elsewhere.byTeam.get(team) ?? {all: 0, urgent: 0};
+		const share = shares.get(team) ?? 0;
+		const urgent = ownUrgent + others.urgent;
+		const urgentShare = Math.min(share, urgent);
+		// Urgent demand is met first, by whichever instances have it; the rest follows the other demand.
+		account.urgentWithin = urgent <= share;
+		account.part = partOf(urgentShare, ownUrgent, urgent) + partOf(share - urgentShare, own - ownUrgent, own + others.all - urgent);
+		if (own === 0 && account.credit === 0) {
+			pool.accounts.delete(team);
+		}
+	}
+}
+
 /**
  * Computes the weighted max-min shares of a pool over the whole fleet and this node's part of each,
  * in proportion to its part of the team's demand. Does nothing while the last plan is recent.
@@ -86,21 +103,6 @@
 	pool.capacity = countCapacity(node, name, at);
 	pool.runningElsewhere = elsewhere.running;
 	pool.full = demandInAll >= pool.capacity;
-	const shares = divideCapacity(claims, pool.capacity);
-	for (const [team, account] of pool.accounts) {
-		const own = account.running + account.queued;
-		const ownUrgent = account.urgent + (pool.flows.get(`${team}/urgent`)?.tasks.length ?? 0);
-		const others = elsewhere.byTeam.get(team) ?? {all: 0, urgent: 0};
-		const share = shares.get(team) ?? 0;
-		const urgent = ownUrgent + others.urgent;
-		const urgentShare = Math.min(share, urgent);
-		// Urgent demand is met first, by whichever instances have it; the rest follows the other demand.
-		account.urgentWithin = urgent <= share;
-		account.part = partOf(urgentShare, ownUrgent, urgent) + partOf(share - urgentShare, own - ownUrgent, own + others.all - urgent);
-		if (own === 0 && account.credit === 0) {
-			pool.accounts.delete(team);
-		}
-	}
-
+	updateParts(pool, divideCapacity(claims, pool.capacity), elsewhere);
 	pool.plannedAt = at;
 }
--- a/packages/core/src/shares/preempt-bulk.ts
+++ b/packages/core/src/shares/preempt-bulk.ts
@@ -1,9 +1,10 @@
 import {
-	creditDebtHorizonMs, preemptionQuantumMs, preemptionRetryMs, throttleMs, urgentGraceMs,
+	checkpointWaitMs, creditDebtHorizonMs, preemptionQuantumMs, preemptionRetryMs, throttleMs, urgentGraceMs,
 } from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Attempt, type Node, type Task} from '../node/node.js';
+import {expectRunTime} from './expect-run-time.js';
 import {mayStart} from './may-start.js';
 import {planShares} from './plan-shares.js';
 import {type PoolShares} from './shares.js';
@@ -88,8 +89,13 @@
 	return effects;
 }
 
+/** Tells whether a task can wait and run once more before its deadline; otherwise its progress would be lost. */
+function canWait(node: Node, task: Task, at: number): boolean {
+	return task.deadlineAt - at > expectRunTime(node, task) + checkpointWaitMs;
+}
+
 /** Ends bulk attempts of teams above their part, so that teams below theirs do not wait for long tasks. */
-function returnExcess(pool: PoolShares, running: readonly Running[], at: number): Effect[] {
+function returnExcess(node: Node, pool: PoolShares, {running, at}: {running: readonly Running[]; at: number}): Effect[] {
 	const effects: Effect[] = [];
 	const excess = new Map<string, number>();
 	for (const [team, account] of pool.accounts) {
@@ -104,7 +110,7 @@
 
 		if (isPending(attempt, at)) {
 			excess.set(task.team, over - 1);
-		} else if (at - attempt.startedAt >= preemptionQuantumMs) {
+		} else if (at - attempt.startedAt >= preemptionQuantumMs && canWait(node, task, at)) {
 			excess.set(task.team, over - 1);
 			effects.push(checkpoint(attempt, at), {type: 'count', counter: 'task.checkpoint-share'});
 		}
@@ -134,7 +140,7 @@
 		planShares(node, name, event.at);
 		effects.push(...freeForUrgent(node, pool, running, event.at));
 		if (pool.full) {
-			effects.push(...returnExcess(pool, running, event.at));
+			effects.push(...returnExcess(node, pool, {running, at: event.at}));
 		}
 	}
 
--- a/packages/measure/src/experiments/urgent-start.ts
+++ b/packages/measure/src/experiments/urgent-start.ts
@@ -55,19 +55,20 @@
 		const capacity = user.instances.filter(instance => instance.pool === pool).length * (user.catalogue.pools[pool]?.limits.slotsPerInstance ?? 0);
 		for (const [team, {share}] of teams) {
 			const slots = (capacity * share) / weights;
-			const add = (queue: string, load: number, from: number, until: number, meanRunMs: number): void => {
+			const add = (queue: string, load: number, fromMs: number, durationMs: number): void => {
+				const meanRunMs = queue === urgent ? urgentRunMs : bulkRunMs;
 				streams.push({
-					queue, team, fromMs: from, untilMs: Math.min(until, endMs), perSecond: (slots * load * 1000) / meanRunMs, meanRunMs, entries: pickEntries(user, random),
+					queue, team, fromMs, untilMs: Math.min(fromMs + durationMs, endMs), perSecond: (slots * load * 1000) / meanRunMs, meanRunMs, entries: pickEntries(user, random),
 				});
 			};
 
-			add(urgent, urgentLoad.mean, 0, endMs, urgentRunMs);
+			add(urgent, urgentLoad.mean, 0, endMs);
 			for (let at = random() * peakPeriodMs; at < endMs; at += peakPeriodMs) {
-				add(urgent, urgentLoad.peak - urgentLoad.mean, at, at + peakMs, urgentRunMs);
+				add(urgent, urgentLoad.peak - urgentLoad.mean, at, peakMs);
 			}
 
 			for (let at = random() * 5000; at < endMs; at += bulkPeriodMs) {
-				add(bulk, bulkLoad, at, at + bulkBurstMs, bulkRunMs);
+				add(bulk, bulkLoad, at, bulkBurstMs);
 			}
 		}
 	}
