Lose and duplicate messages in all share experiments

Only fair-share ran with message faults. urgent-start and zone-withdrawal now lose 5 % and duplicate 2 % of the messages between instances.

--- a/packages/measure/src/experiments/fair-share.ts
+++ b/packages/measure/src/experiments/fair-share.ts
@@ -6,7 +6,7 @@
 import {type Baseline, type Bound, type Experiment} from '../experiment.js';
 import {listUsers, loadUser, type User} from '../load-user.js';
 import {
-	createRandom, createRequests, createScenario, type Random, type Request, type Stream,
+	createRandom, messageFaults, createRequests, createScenario, type Random, type Request, type Stream,
 } from '../scenario.js';
 import {runSlots, type Interval} from '../run-slots.js';
 
@@ -17,8 +17,6 @@
 const gapMs = 12_000;
 /** Teams with modest demand join a burst up to this time after its start, when the others fill the pool. */
 const latestJoinMs = 8000;
-/** Faults of the messages between instances. */
-const delivery = {jitterMs: 20, drop: 0.05, duplicate: 0.02};
 /** A queue requests five times its mean in a burst, which is this part of its pool's capacity. */
 const burstLoad = 2;
 const burstFactor = 5;
@@ -156,7 +154,7 @@
 
 function runReducers(user: User, requests: readonly Request[], options: {seed: number; endMs: number}): {changes: Change[]; counters: Record<string, number>} {
 	const {seed, endMs} = options;
-	const {pump} = createScenario(user, requests, {seed, delivery});
+	const {pump} = createScenario(user, requests, {seed, delivery: messageFaults});
 	pump.run(endMs);
 	const started = new Map<string, {taskId: string; at: number}>();
 	const intervals: Interval[] = [];
--- a/packages/measure/src/experiments/urgent-start.ts
+++ b/packages/measure/src/experiments/urgent-start.ts
@@ -7,7 +7,7 @@
 import {listUsers, loadUser, type User} from '../load-user.js';
 import {runSlots} from '../run-slots.js';
 import {
-	createRandom, createRequests, createScenario, type Random, type Request, type Stream,
+	createRandom, createRequests, createScenario, messageFaults, type Random, type Request, type Stream,
 } from '../scenario.js';
 
 const targetMs = 1000;
@@ -104,7 +104,7 @@
 			const {user, pairs} = addBulkQueues(loadUser(name));
 			const random = createRandom(seed);
 			const requests = createRequests(user, createStreams(user, pairs, random), random);
-			const {pump} = createScenario(user, requests, {seed});
+			const {pump} = createScenario(user, requests, {seed, delivery: messageFaults});
 			// Requests that arrive just before the end have time to start.
 			pump.run(endMs + (2 * targetMs));
 			const startedAt = new Map<string, number>();
--- a/packages/measure/src/experiments/zone-withdrawal.ts
+++ b/packages/measure/src/experiments/zone-withdrawal.ts
@@ -8,7 +8,7 @@
 import {listUsers, loadUser, type User} from '../load-user.js';
 import {type Pump} from '../pump.js';
 import {
-	createRandom, createRequests, createScenario, type Random, type Stream,
+	createRandom, createRequests, createScenario, messageFaults, type Random, type Stream,
 } from '../scenario.js';
 
 const withdrawAt = 20_000;
@@ -134,7 +134,7 @@
 			// The first try of these requests fails, so that retries are due while the zone is withdrawn.
 			const failing = new Set(requests.filter(({queue}) => user.catalogue.queues[queue]?.repeatable === true && random() < failedAttempts).map(({id}) => id));
 			const {pump, names} = createScenario(user, requests, {
-				seed, outcome: ({taskId}) => failing.delete(taskId) ? {type: 'failed', status: 500} : undefined,
+				seed, delivery: messageFaults, outcome: ({taskId}) => failing.delete(taskId) ? {type: 'failed', status: 500} : undefined,
 			});
 			const change = {
 				user, names, zone, random,
--- a/packages/measure/src/scenario.ts
+++ b/packages/measure/src/scenario.ts
@@ -36,6 +36,9 @@
 
 export type Random = () => number;
 
+/** Faults of the messages between instances. */
+export const messageFaults: Partial<Delivery> = {jitterMs: 20, drop: 0.05, duplicate: 0.02};
+
 const confirmationIntervalMs = 500;
 const longestRunInMeans = 4;
 
