--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -263,3 +263,6 @@
 
 /** Time for which the absence of a member's record is remembered; far longer than the reclaim of its portions takes. */
 export const absenceRetentionMs = 3_600_000;
+
+/** Wait that a checkpointed task must have room for before its deadline; most resume within a few seconds. */
+export const checkpointWaitMs = 4000;
--- a/packages/measure/src/experiments/urgent-start.ts
+++ b/packages/measure/src/experiments/urgent-start.ts
@@ -7,7 +7,7 @@
 import {listUsers, loadUser, type User} from '../load-user.js';
 import {runSlots} from '../run-slots.js';
 import {
-	createRandom, createRequests, createScenario, type Random, type Request, type Stream,
+	createRandom, createRequests, createScenario, messageFaults, type Random, type Request, type Stream,
 } from '../scenario.js';
 
 const targetMs = 1000;
@@ -55,19 +55,20 @@
 		const capacity = user.instances.filter(instance => instance.pool === pool).length * (user.catalogue.pools[pool]?.limits.slotsPerInstance ?? 0);
 		for (const [team, {share}] of teams) {
 			const slots = (capacity * share) / weights;
-			const add = (queue: string, load: number, from: number, until: number, meanRunMs: number): void => {
+			const add = (queue: string, load: number, fromMs: number, durationMs: number): void => {
+				const meanRunMs = queue === urgent ? urgentRunMs : bulkRunMs;
 				streams.push({
-					queue, team, fromMs: from, untilMs: Math.min(until, endMs), perSecond: (slots * load * 1000) / meanRunMs, meanRunMs, entries: pickEntries(user, random),
+					queue, team, fromMs, untilMs: Math.min(fromMs + durationMs, endMs), perSecond: (slots * load * 1000) / meanRunMs, meanRunMs, entries: pickEntries(user, random),
 				});
 			};
 
-			add(urgent, urgentLoad.mean, 0, endMs, urgentRunMs);
+			add(urgent, urgentLoad.mean, 0, endMs);
 			for (let at = random() * peakPeriodMs; at < endMs; at += peakPeriodMs) {
-				add(urgent, urgentLoad.peak - urgentLoad.mean, at, at + peakMs, urgentRunMs);
+				add(urgent, urgentLoad.peak - urgentLoad.mean, at, peakMs);
 			}
 
 			for (let at = random() * 5000; at < endMs; at += bulkPeriodMs) {
-				add(bulk, bulkLoad, at, at + bulkBurstMs, bulkRunMs);
+				add(bulk, bulkLoad, at, bulkBurstMs);
 			}
 		}
 	}
@@ -103,7 +104,7 @@
 			const {user, pairs} = addBulkQueues(loadUser(name));
 			const random = createRandom(seed);
 			const requests = createRequests(user, createStreams(user, pairs, random), random);
-			const {pump} = createScenario(user, requests, {seed});
+			const {pump} = createScenario(user, requests, {seed, delivery: messageFaults});
 			// Requests that arrive just before the end have time to start.
 			pump.run(endMs + (2 * targetMs));
 			const startedAt = new Map<string, number>();
