Reserve slots only beside urgent queues, and bound the debt of urgent work

A team's debt from bulk work held back its urgent work for seconds once its urgent demand passed its share; the debt now counts for a quarter of a slot. Pools without an urgent queue held a reserve that nothing used; they have none now.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -78,3 +78,6 @@
 
 /** Wait that a checkpointed task must have room for before its deadline; most resume within a few seconds. */
 export const checkpointWaitMs = 4000;
+
+/** Most slots by which a team's debt holds back its urgent work; larger debts of bulk work delayed urgent work for seconds. */
+export const urgentDebt = 0.25;
--- a/packages/core/src/shares/find-account.ts
+++ b/packages/core/src/shares/find-account.ts
@@ -13,7 +13,7 @@
 	let account = pool.accounts.get(team);
 	if (account === undefined) {
 		account = {
-			running: 0, urgent: 0, queued: 0, part: 0, urgentWithin: false, credit: 0,
+			running: 0, urgent: 0, queued: 0, part: 0, urgentPart: 0, urgentWithin: false, credit: 0,
 		};
 		pool.accounts.set(team, account);
 	}
--- a/packages/core/src/shares/find-pool.ts
+++ b/packages/core/src/shares/find-pool.ts
@@ -20,6 +20,7 @@
 			plannedAt: Number.NEGATIVE_INFINITY,
 			full: false,
 			capacity: 0,
+			reserve: 0,
 			runningElsewhere: 0,
 		};
 		node.shares.pools.set(name, pool);
--- a/packages/core/src/shares/may-start.ts
+++ b/packages/core/src/shares/may-start.ts
@@ -1,4 +1,4 @@
-import {creditHorizonMs, urgentReserve} from '../constants.js';
+import {creditHorizonMs, urgentDebt} from '../constants.js';
 import {type WorkClass} from '../catalogue/schema.js';
 import {type PoolShares} from './shares.js';
 
@@ -24,7 +24,7 @@
 			running += own;
 		}
 
-		if (running >= pool.capacity - Math.ceil(pool.capacity * urgentReserve)) {
+		if (running >= pool.capacity - pool.reserve) {
 			return false;
 		}
 	}
@@ -38,6 +38,11 @@
 		return true;
 	}
 
+	// Debts of the team's other work hold urgent work back by a fraction of a slot only.
+	if (workClass === 'urgent' && account.urgent + 0.5 < account.urgentPart + Math.max(account.credit / creditHorizonMs, -urgentDebt)) {
+		return true;
+	}
+
 	// Rounding to the nearest whole slot; the credit makes up for the remainder over time.
 	return account.running + 0.5 < account.part + (account.credit / creditHorizonMs);
 }
--- a/packages/core/src/shares/plan-shares.ts
+++ b/packages/core/src/shares/plan-shares.ts
@@ -1,5 +1,5 @@
 import {
-	creditHorizonMs, maximumCreditMs, shareRefreshMs, summaryRetentionMs,
+	creditHorizonMs, maximumCreditMs, shareRefreshMs, summaryRetentionMs, urgentReserve,
 } from '../constants.js';
 import {listSummaries} from '../membership/list-summaries.js';
 import {type Node} from '../node/node.js';
@@ -45,6 +45,17 @@
 	return {byTeam, running};
 }
 
+function hasUrgentQueue(node: Node, name: string): boolean {
+	const {queues, services} = node.snapshot.catalogue;
+	for (const queue of Object.values(queues)) {
+		if (queue.class === 'urgent' && services[queue.service]?.pool === name) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 function partOf(share: number, own: number, all: number): number {
 	return all <= 0 ? 0 : (share * own) / all;
 }
@@ -59,7 +70,8 @@
 		const urgentShare = Math.min(share, urgent);
 		// Urgent demand is met first, by whichever instances have it; the rest follows the other demand.
 		account.urgentWithin = urgent <= share;
-		account.part = partOf(urgentShare, ownUrgent, urgent) + partOf(share - urgentShare, own - ownUrgent, own + others.all - urgent);
+		account.urgentPart = partOf(urgentShare, ownUrgent, urgent);
+		account.part = account.urgentPart + partOf(share - urgentShare, own - ownUrgent, own + others.all - urgent);
 		if (own === 0 && account.credit === 0) {
 			pool.accounts.delete(team);
 		}
@@ -101,6 +113,7 @@
 	}
 
 	pool.capacity = countCapacity(node, name, at);
+	pool.reserve = hasUrgentQueue(node, name) ? Math.ceil(pool.capacity * urgentReserve) : 0;
 	pool.runningElsewhere = elsewhere.running;
 	pool.full = demandInAll >= pool.capacity;
 	updateParts(pool, divideCapacity(claims, pool.capacity), elsewhere);
--- a/packages/core/src/shares/shares.ts
+++ b/packages/core/src/shares/shares.ts
@@ -25,6 +25,8 @@
 	queued: number;
 	/** Slots that this node may use for the team while the pool is full; a fraction. */
 	part: number;
+	/** Those of `part` that are for urgent work. */
+	urgentPart: number;
 	/** Whether the urgent demand of the team in the whole fleet is within its share. */
 	urgentWithin: boolean;
 	/** Slot-milliseconds below (positive) or above (negative) the part while the pool was full. */
@@ -42,6 +44,8 @@
 	full: boolean;
 	/** Slots of the pool, without withdrawn availability zones. */
 	capacity: number;
+	/** Slots that bulk tasks leave free; none in a pool without an urgent queue. */
+	reserve: number;
 	/** Running tasks of the other members, from their summaries. */
 	runningElsewhere: number;
 };
