--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -153,8 +153,11 @@
 /** Workers that one choice looks at after two random ones had no room. */
 export const maximumScannedWorkers = 64;
 
-/** Time for which a worker that refused a task for want of a slot is passed over. */
-export const fullRetentionMs = 5;
+/** Time for which a worker that refused a task for want of a slot comes after all others. */
+export const fullRetentionMs = 50;
+
+/** Least time between two tasks that a full worker is asked to take; without it a full pool would be asked in a tight loop. */
+export const refusalIntervalMs = 5;
 
 /** Age after which a usage report no longer counts. */
 export const usageRetentionMs = 3000;
--- a/packages/core/src/placement/choose-worker.ts
+++ b/packages/core/src/placement/choose-worker.ts
@@ -1,12 +1,12 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
-import {maximumScannedWorkers} from '../constants.js';
+import {fullRetentionMs, maximumScannedWorkers, refusalIntervalMs} from '../constants.js';
 import {type Node, type Task} from '../node/node.js';
 import {countRoom} from './count-room.js';
 import {type Worker} from './placement.js';
 
 const choices = 2;
 
-type Demand = {readonly slots: number; readonly repeatable: boolean; readonly at: number; readonly avoid: readonly string[]; readonly minimumRoom: number};
+type Demand = {readonly slots: number; readonly repeatable: boolean; readonly at: number; readonly avoid: readonly string[]; readonly minimumRoom: number; readonly fullMs: number};
 
 type Candidate = {readonly worker: Worker; readonly room: number};
 
@@ -84,7 +84,7 @@
 
 	const slots = node.snapshot.catalogue.pools[task.pool]?.limits.slotsPerInstance ?? 0;
 	const demand = {
-		slots, repeatable: task.repeatable, at, avoid: task.failedWorkers, minimumRoom: 1,
+		slots, repeatable: task.repeatable, at, avoid: task.failedWorkers, minimumRoom: 1, fullMs: fullRetentionMs,
 	};
 	const {own, other} = subset;
 	const worker = chooseProbe(node, task.pool, demand)
@@ -95,7 +95,9 @@
 
 	// Reports lag: workers that they show as full come next, then workers on which the task has failed.
 	for (const avoid of [demand.avoid, []]) {
-		const wider = {...demand, avoid, minimumRoom: 0};
+		const wider = {
+			...demand, avoid, minimumRoom: 0, fullMs: refusalIntervalMs,
+		};
 		const found = chooseAmong(node, own, wider) ?? chooseAmong(node, other, wider);
 		if (found !== undefined) {
 			return found;
--- a/packages/core/src/placement/count-room.ts
+++ b/packages/core/src/placement/count-room.ts
@@ -27,13 +27,14 @@
  *
  * @param node - the node
  * @param worker - the worker
- * @param options - slots of a worker of the pool, whether the task is repeatable, and now in milliseconds
+ * @param options - slots of a worker of the pool, whether the task is repeatable, now, and the time for which a
+ * worker without a free slot is passed over, in milliseconds
  * @returns the number of free slots, at least 0
  * @example
  * if (countRoom(node, worker, {slots: 8, repeatable: true, at}) > 0) startOn(worker);
  */
-export function countRoom(node: Node, worker: Worker, options: {slots: number; repeatable: boolean; at: number}): number {
-	const {slots, repeatable, at} = options;
+export function countRoom(node: Node, worker: Worker, options: {slots: number; repeatable: boolean; at: number; fullMs?: number}): number {
+	const {slots, repeatable, at, fullMs = fullRetentionMs} = options;
 	if (isLeaving(worker, at) || (node.snapshot.catalogue.zones[worker.instance.zone]?.withdrawn ?? false)) {
 		return 0;
 	}
@@ -44,7 +45,7 @@
 
 	const part = returnedPart(node, worker, at);
 	const usable = part >= 1 ? slots : Math.max(1, Math.ceil(slots * part));
-	if (worker.running >= usable || at - worker.fullAt < fullRetentionMs) {
+	if (worker.running >= usable || at - worker.fullAt < fullMs) {
 		return 0;
 	}
 
