Ask for portions at once while a limit is not scarce

Cause: with one daemon each rise of the demand waited up to 250 ms for a portion, and a holder that claimed only half of its demand left idle portions of others unclaimed for 10 s.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -77,5 +77,8 @@
 /** Time constant of the average of a holder's demand. */
 export const demandAverageMs = 1000;
 
+/** Part of a limit below which its free part is scarce: calls for single requests are spaced. */
+export const scarcePart = 0.25;
+
 /** Time for which the absence of a member is remembered. */
 export const absenceRetentionMs = 3_600_000;
--- a/packages/core/src/limits/adopt-record.ts
+++ b/packages/core/src/limits/adopt-record.ts
@@ -69,7 +69,7 @@
 	const total = Object.values(record.portions).reduce((sum, {count}) => sum + count, 0);
 	const pressed = Object.entries(record.portions).some(([holder, {wanted, count}]) => holder !== node.id && wanted > count);
 	held.view = {
-		record, modRevision, at: node.limits.now, exceeded: total > record.limit, pressed, target: fairTarget(record, node.id),
+		record, modRevision, at: node.limits.now, free: record.limit - total, pressed, target: fairTarget(record, node.id),
 	};
 	noteAbsentHolders(node, record);
 	return true;
--- a/packages/core/src/limits/count-usable.ts
+++ b/packages/core/src/limits/count-usable.ts
@@ -12,7 +12,7 @@
 export function countUsable(node: Node, team: string): number {
 	const {teams, liveness, failing} = node.limits;
 	const {view, uncertain} = teams.get(team) ?? {};
-	if (view === undefined || view.exceeded) {
+	if (view === undefined || view.free < 0) {
 		return 0;
 	}
 
--- a/packages/core/src/limits/limits.ts
+++ b/packages/core/src/limits/limits.ts
@@ -8,8 +8,8 @@
 	readonly record: LimitRecord;
 	readonly modRevision: number;
 	readonly at: number;
-	/** The holders together hold more than the limit, which was lowered; nothing starts. */
-	readonly exceeded: boolean;
+	/** Part of the limit that nobody holds; below 0 after the limit was lowered, when nothing starts. */
+	readonly free: number;
 	/** Another holder claims more than it has. */
 	readonly pressed: boolean;
 	/** This node's fair part while the holders together want more than the limit, otherwise infinity. */
--- a/packages/core/src/limits/plan-record.ts
+++ b/packages/core/src/limits/plan-record.ts
@@ -46,7 +46,7 @@
 function isQuiet({id, limits, tasks}: Node, {view, uncertain}: HeldPortion, need: number): boolean {
 	const own = view?.record.portions[id];
 	return own?.registration === limits.liveness.registration && need <= own.count && view?.pressed === false
-		&& !view.exceeded && uncertain === undefined && !tasks.shuttingDown;
+		&& view.free >= 0 && uncertain === undefined && !tasks.shuttingDown;
 }
 
 function observeDemand(node: Node, held: HeldPortion, need: number): void {
--- a/packages/core/src/limits/propose-record.ts
+++ b/packages/core/src/limits/propose-record.ts
@@ -32,6 +32,9 @@
  */
 const tasksPerClaim = 2;
 
+/** Waiting tasks with which a holder claims one more, so that idle portions of others return. */
+const queueForClaim = 4;
+
 /** Part of the need that is taken in addition while the limit is not fully used; saves a write for each new task. */
 const spareDivisor = 4;
 
@@ -73,7 +76,8 @@
 	const inForce = revision > record.revision && limit !== record.limit ? {...record, limit, revision} : record;
 	const {[holder]: own, ...present} = inForce.portions;
 	const others = Object.fromEntries(Object.entries(present).filter(([name]) => !vanished.includes(name)));
-	const claim = Math.max(Math.min(need, own?.count ?? 0), Math.round(Math.min(need, demand) / tasksPerClaim), Math.min(need, Math.round(demand), 1));
+	const held = own?.count ?? 0;
+	const claim = Math.max(Math.min(need, held + (need >= held + queueForClaim ? 1 : 0)), Math.round(Math.min(need, demand) / tasksPerClaim), Math.min(need, Math.round(demand), 1));
 	const portion: Portion = {
 		count: 0, ...own, wanted: Math.min(claim, inForce.limit), write, registration,
 	};
--- a/packages/core/src/limits/request-portion.ts
+++ b/packages/core/src/limits/request-portion.ts
@@ -1,4 +1,4 @@
-import {portionUrgentPollMs} from '../constants.js';
+import {portionUrgentPollMs, scarcePart} from '../constants.js';
 import {type Effect} from '../node/effect.js';
 import {type EventOf} from '../node/event.js';
 import {type Node} from '../node/node.js';
@@ -20,6 +20,9 @@
 		return [];
 	}
 
-	const {calledAt = Number.NEGATIVE_INFINITY} = node.limits.teams.get(task.team) ?? {};
-	return event.at - calledAt < portionUrgentPollMs ? [] : syncPortions(node);
+	const {calledAt, view} = node.limits.teams.get(task.team) ?? {};
+	const recent = calledAt !== undefined && event.at - calledAt < portionUrgentPollMs;
+	// Near the limit, a call for each request would leave no calls for the returns and grants that follow.
+	const scarce = view === undefined || view.free <= view.record.limit * scarcePart;
+	return recent && scarce ? [] : syncPortions(node);
 }
