--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -255,6 +255,9 @@
 /** Time constant of the average of a holder's demand. */
 export const demandAverageMs = 1000;
 
+/** Part of a limit below which its free part is scarce: calls for single requests are spaced. */
+export const scarcePart = 0.25;
+
 /** Time that a new process waits to hear from a recorded member before it relies on the store alone; longer than the store backoff of the others. */
 export const introductionLimitMs = 5000;
 
