Run the maintenance planner in the daemon and serve its operators' routes

Cause: the planner's reducer, its clients and the fleet commands existed, but no process ran them. Each daemon with an address of the platform's pool actions runs a planner; the planner lease decides which one acts.

--- a/packages/core/src/maintenance/settings.ts
+++ b/packages/core/src/maintenance/settings.ts
@@ -23,3 +23,5 @@
 	/** Time after which a reboot counts as failed. */
 	rebootMs: z.int().min(1000).default(900_000),
 });
+
+export type MaintenanceSettings = z.infer<typeof maintenanceSettingsSchema>;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,11 +27,13 @@
 import {type Explanation, listStateRoutes} from './operator/list-state-routes.js';
 import {type Editor} from './operator/edit-entry.js';
 import {listCatalogueRoutes} from './operator/list-catalogue-routes.js';
+import {listFleetRoutes} from './operator/list-fleet-routes.js';
 import {listKeyRoutes} from './operator/list-key-routes.js';
 import {listZoneRoutes} from './operator/list-zone-routes.js';
 import {type OperatorRoute} from './operator/operator-request.js';
 import {mountRoutes} from './operator/mount-routes.js';
 import {performEffect} from './perform-effect.js';
+import {PlannerRunner} from './planner-runner.js';
 import {UsageReader} from './usage-reader.js';
 import {WorkerClient} from './worker-client.js';
 
@@ -65,6 +67,7 @@
 	readonly #explanations = new LRUCache<string, Explanation>({max: rememberedRequests});
 	readonly #edits = new Map<string, (result: EditResult) => void>();
 	readonly #peers: PeerHub | undefined;
+	readonly #planner: PlannerRunner | undefined;
 	readonly #server: Server;
 	readonly #instanceList: InstanceList;
 	readonly #catalogueReader: CatalogueReader;
@@ -88,6 +91,8 @@
 		this.#trace = settings.log.trace ? createTrace(logger) : undefined;
 		this.#catalogueReader = new CatalogueReader({node: this.#node, now: () => this.#host.now()});
 		this.#peers = this.#createPeerHub();
+		const {poolActions} = settings.maintenance;
+		this.#planner = poolActions === undefined ? undefined : new PlannerRunner({host: this.#host, node: this.#node, settings: {...settings.maintenance, poolActions}});
 		this.#usageReader = new UsageReader({host: this.#host, node: this.#node});
 		const router = createRouter(this.#host, this.#node);
 		mountRoutes(router, {
@@ -123,6 +128,7 @@
 			this.#server.once('error', reject);
 			this.#server.listen(http.port, http.host, resolve);
 		});
+		void this.#planner?.run();
 		void this.#repeat(this.#settings.instanceList.intervalMs, async () => this.#refreshInstances());
 		void this.#repeat(taskLeaseTtlMs / renewalsPerLease, async () => this.#renewLeases());
 		void this.#repeat(usageReadIntervalMs, async () => this.#usageReader.readRound());
@@ -153,7 +159,7 @@
 			stop();
 		}
 
-		await this.#peers?.stop();
+		await Promise.all([this.#peers?.stop(), this.#planner?.stop()]);
 		const closed = new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
@@ -177,6 +183,7 @@
 			...listCatalogueRoutes(editor),
 			...listKeyRoutes(editor),
 			...listZoneRoutes(editor),
+			...listFleetRoutes(editor, this.#host, this.#settings.maintenance),
 		];
 	}
 
@@ -271,6 +278,7 @@
 		}
 
 		this.#dispatch({type: 'instances-listed', at: this.#host.now(), instances: outcome.instances});
+		this.#planner?.listInstances(outcome.instances);
 	}
 
 	async #renewLeases(): Promise<void> {
--- /dev/null
+++ b/packages/daemon/src/operator/list-fleet-routes.ts
@@ -0,0 +1,30 @@
+import {type MaintenanceSettings} from '@rosemaryquay/core/maintenance/settings';
+import {type Host} from '../host.js';
+import {type Editor} from './edit-entry.js';
+import {fleetRoutes} from './fleet-routes.js';
+import {type OperatorRoute} from './operator-request.js';
+
+/**
+ * Lists the routes for plans, drains and moves.
+ *
+ * @param editor - the node
+ * @param host - store and prefix
+ * @param settings - weights and expected time of a step
+ * @returns the routes
+ * @example
+ * mountRoutes(router, {routes: listFleetRoutes(editor, host, settings.maintenance), logger, snapshot});
+ */
+export function listFleetRoutes(editor: Pick<Editor, 'node'>, host: Host, settings: MaintenanceSettings): OperatorRoute[] {
+	return fleetRoutes.map(({method, path, handler}) => ({
+		method,
+		path,
+		handler: async ({parameters, body}) => handler({
+			store: host.store,
+			prefix: host.prefix,
+			catalogue: editor.node.snapshot.catalogue,
+			utcMs: Date.now(),
+			weights: settings.weights,
+			stepMs: settings.stepMs,
+		}, {params: parameters, body}),
+	}));
+}
--- /dev/null
+++ b/packages/daemon/src/planner-runner.ts
@@ -0,0 +1,117 @@
+/**
+ * Runs the maintenance planner beside the request path. The planner lease decides which process acts.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {createPlanner} from '@rosemaryquay/core/maintenance/create-planner';
+import {listPoolRules} from '@rosemaryquay/core/maintenance/list-pool-rules';
+import {type Planner, type PlannerEvent} from '@rosemaryquay/core/maintenance/planner';
+import {reducePlanner} from '@rosemaryquay/core/maintenance/reduce-planner';
+import {type MaintenanceSettings} from '@rosemaryquay/core/maintenance/settings';
+import {type ListedInstance} from '@rosemaryquay/core/node/event';
+import {type Node} from '@rosemaryquay/core/node/node';
+import {performPlannerEffect, type PlannerHost} from '@rosemaryquay/platform/perform-planner-effect';
+import {HttpPoolActions, type PoolActions} from '@rosemaryquay/platform/pool-actions';
+import {type Host} from './host.js';
+
+const tickIntervalMs = 1000;
+const watchRetryMs = 1000;
+
+export class PlannerRunner {
+	readonly #host: Host;
+	readonly #node: Node;
+	readonly #planner: Planner;
+	readonly #actions: PoolActions;
+	readonly #plannerHost: PlannerHost;
+	readonly #abort = new AbortController();
+	#revision = -1;
+	#stopWatch: (() => void) | undefined;
+
+	constructor(options: {host: Host; node: Node; settings: MaintenanceSettings & {poolActions: {url: string}}}) {
+		const {host, node, settings} = options;
+		this.#host = host;
+		this.#node = node;
+		const {poolActions, weights: _weights, ...plannerSettings} = settings;
+		this.#planner = createPlanner({id: node.id, prefix: host.prefix, settings: plannerSettings});
+		this.#actions = new HttpPoolActions({url: poolActions.url});
+		this.#plannerHost = {
+			store: host.store,
+			actions: this.#actions,
+			now: () => host.now(),
+			dispatch: event => {
+				this.#dispatch(event);
+			},
+			report({report, subject}) {
+				host.metrics.count(`fleet.${report}`);
+				host.logger.log(`fleet-${report}`, {subject});
+			},
+		};
+	}
+
+	async run(): Promise<void> {
+		const {signal} = this.#abort;
+		void this.#watch();
+		while (!signal.aborted) {
+			this.#loadRules();
+			this.#dispatch({type: 'tick', at: this.#host.now(), utcMs: Date.now()});
+			await delay(tickIntervalMs, undefined, {signal}).catch(() => undefined);
+		}
+	}
+
+	listInstances(instances: readonly ListedInstance[]): void {
+		this.#dispatch({type: 'instances-listed', at: this.#host.now(), instances});
+	}
+
+	async stop(): Promise<void> {
+		this.#abort.abort();
+		this.#stopWatch?.();
+		await this.#actions.close();
+	}
+
+	#loadRules(): void {
+		const {snapshot} = this.#node;
+		if (snapshot.revision === this.#revision) {
+			return;
+		}
+
+		this.#revision = snapshot.revision;
+		const withdrawn = Object.entries(snapshot.catalogue.zones).filter(([, zone]) => zone.withdrawn).map(([name]) => name);
+		this.#dispatch({
+			type: 'rules-loaded', at: this.#host.now(), pools: listPoolRules(snapshot.catalogue), withdrawn: new Set(withdrawn),
+		});
+	}
+
+	/** Follows the fleet records; the planner lists them itself when it acquires its lease. */
+	async #watch(): Promise<void> {
+		const prefix = `${this.#host.prefix}fleet/`;
+		const listing = await this.#host.store.list(prefix);
+		if (this.#abort.signal.aborted) {
+			return;
+		}
+
+		if (!listing.ok) {
+			this.#watchLater();
+			return;
+		}
+
+		this.#dispatch({type: 'records-changed', at: this.#host.now(), changes: listing.value.entries});
+		this.#stopWatch = this.#host.store.watch(prefix, listing.value.revision + 1, report => {
+			if (report.type === 'changed') {
+				this.#dispatch({type: 'records-changed', at: this.#host.now(), changes: report.changes});
+			} else {
+				this.#watchLater();
+			}
+		});
+	}
+
+	#watchLater(): void {
+		setTimeout(() => {
+			void this.#watch();
+		}, watchRetryMs).unref();
+	}
+
+	#dispatch(event: PlannerEvent): void {
+		for (const effect of reducePlanner(this.#planner, event)) {
+			void performPlannerEffect(this.#plannerHost, effect);
+		}
+	}
+}
