--- a/packages/cli/src/fleet-command.ts
+++ b/packages/cli/src/fleet-command.ts
@@ -3,31 +3,20 @@
  */
 import process from 'node:process';
 import {Command, Option} from 'clipanion';
-import {request} from 'undici';
+import {OperatorClient} from './operator-client.js';
 
 /** Answer of the daemon; status 0 when none came. */
 export type Answer = {readonly status: number; readonly body: Readonly<Record<string, unknown>>};
 
-const timeoutMs = 10_000;
-
 export abstract class FleetCommand extends Command {
 	daemon = Option.String('--daemon', 'http://127.0.0.1:8080', {description: 'URL of a daemon'});
 	key = Option.String('--key', {description: 'Operator key; the environment variable ROSEMARYQUAY_OPERATOR_KEY by default'});
 	json = Option.Boolean('--json', false, {description: 'Print one JSON object'});
 
 	protected async call(method: 'GET' | 'POST', path: string, body?: unknown): Promise<Answer> {
-		const key = this.key ?? process.env.ROSEMARYQUAY_OPERATOR_KEY ?? '';
-		try {
-			const response = await request(new URL(`/operator/fleet/${path}`, this.daemon), {
-				method,
-				headers: {authorization: `Bearer ${key}`, 'content-type': 'application/json'},
-				signal: AbortSignal.timeout(timeoutMs),
-				...(body !== undefined && {body: JSON.stringify(body)}),
-			});
-			return {status: response.statusCode, body: await response.body.json() as Record<string, unknown>};
-		} catch (error) {
-			return {status: 0, body: {reason: 'daemon-unreachable', execution: 'outcome unknown', detail: error instanceof Error ? error.message : String(error)}};
-		}
+		const client = new OperatorClient({url: this.daemon, key: this.key ?? process.env.ROSEMARYQUAY_OPERATOR_KEY ?? ''});
+		const answer = await client.call({method, path: `/operator/fleet/${path}`, ...(body !== undefined && {body})});
+		return answer.status === 0 ? {status: 0, body: {reason: 'daemon-unreachable', execution: 'outcome unknown', detail: answer.body.title}} : answer;
 	}
 
 	/** Prints an answer and returns the exit code: 0 for done, 1 for refused or unknown. */
--- a/packages/daemon/src/create-trace.ts
+++ b/packages/daemon/src/create-trace.ts
@@ -66,7 +66,7 @@
  * const trace = createTrace(logger);
  */
 export function createTrace(logger: Logger): Trace {
-	let revision = -1;
+	let revision = 0;
 	return {
 		before(node, event) {
 			const attempt = event.type === 'attempt-finished' ? node.tasks.attempts.get(event.attemptId) : undefined;
--- a/packages/measure/src/experiments.ts
+++ b/packages/measure/src/experiments.ts
@@ -4,6 +4,7 @@
 import {type Experiment} from './experiment.js';
 import {atMostOnce} from './experiments/at-most-once.js';
 import {configurationSpread} from './experiments/configuration-spread.js';
+import {controlCost} from './experiments/control-cost.js';
 import {decisionCost} from './experiments/decision-cost.js';
 import {fairShare} from './experiments/fair-share.js';
 import {keyWithdrawal} from './experiments/key-withdrawal.js';
@@ -22,6 +23,7 @@
 export const experiments: Readonly<Record<string, Experiment>> = {
 	'at-most-once': atMostOnce,
 	'configuration-spread': configurationSpread,
+	'control-cost': controlCost,
 	'decision-cost': decisionCost,
 	'fair-share': fairShare,
 	'key-withdrawal': keyWithdrawal,
--- a/packages/measure/src/load-user.ts
+++ b/packages/measure/src/load-user.ts
@@ -1,4 +1,4 @@
-import {readdirSync, readFileSync} from 'node:fs';
+import {existsSync, readdirSync, readFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {parse} from 'yaml';
 import {z} from 'zod';
@@ -50,7 +50,7 @@
  * for (const name of listUsers()) loadUser(name);
  */
 export function listUsers(): string[] {
-	return readdirSync(examples, {withFileTypes: true}).filter(entry => entry.isDirectory()).map(entry => entry.name).toSorted();
+	return readdirSync(examples, {withFileTypes: true}).filter(entry => entry.isDirectory() && existsSync(`${examples}/${entry.name}/catalogue.yaml`)).map(entry => entry.name).toSorted();
 }
 
 /**
--- a/scripts/check-docs.js
+++ b/scripts/check-docs.js
@@ -3,7 +3,9 @@
  * `--write` writes the generated pages.
  */
 import {execFileSync} from 'node:child_process';
-import {existsSync, readFileSync, writeFileSync} from 'node:fs';
+import {
+	existsSync, readdirSync, readFileSync, writeFileSync,
+} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {generateDocs} from './generate-docs.js';
@@ -31,6 +33,40 @@
 	problems.push(`${file} is an index file`);
 }
 
+/** Totals are rounded to their last digit. */
+const roundingPart = 0.01;
+for (const {role, quantity, base, slopes, total} of JSON.parse(readFileSync('docs/capacity.json', 'utf8')).rows) {
+	const sum = slopes.reduce((value, {slope, amount}) => value + (slope * amount), base);
+	if (!(Math.abs(sum - total) <= total * roundingPart)) {
+		problems.push(`docs/capacity.json: ${role}, ${quantity}: ${sum} does not add up to ${total}`);
+	}
+
+	if (!readFileSync('docs/CAPACITY.md', 'utf8').includes(`| ${total} `)) {
+		problems.push(`docs/CAPACITY.md does not state the total of ${role}, ${quantity}`);
+	}
+}
+
+/** Packages that the sources of a package import, without its tests. */
+function listImports(packageName) {
+	const sources = readdirSync(`packages/${packageName}/src`, {recursive: true}).filter(file => file.endsWith('.ts') && !file.endsWith('.test.ts'));
+	const imported = new Set();
+	for (const file of sources) {
+		for (const {groups} of readFileSync(`packages/${packageName}/src/${file}`, 'utf8').matchAll(/from '@rosemaryquay\/(?<name>[a-z]+)\//g)) {
+			imported.add(groups.name);
+		}
+	}
+
+	return [...imported].toSorted();
+}
+
+const drawn = [...readFileSync('docs/design.md', 'utf8').matchAll(/^ {2}(?<from>[a-z]+) --> (?<to>[a-z]+)$/gm)].map(({groups}) => `${groups.from} --> ${groups.to}`);
+const actual = readdirSync('packages').flatMap(from => listImports(from).map(to => `${from} --> ${to}`));
+for (const edge of new Set([...drawn, ...actual])) {
+	if (drawn.includes(edge) !== actual.includes(edge)) {
+		problems.push(`docs/design.md: the figure of the modules ${drawn.includes(edge) ? 'has' : 'lacks'} ${edge}`);
+	}
+}
+
 for (const problem of problems) {
 	process.stderr.write(`${problem}\n`);
 }
