--- /dev/null
+++ b/packages/core/src/shares/will-run-out.test.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createNode} from '../node/create-node.js';
+import {type Task} from '../node/node.js';
+import {willRunOut} from './will-run-out.js';
+
+// Guards against slots spent on attempts that are cancelled at their deadline, and against refusals without evidence.
+const cases: ReadonlyArray<{name: string; observations: number; leftMs: number; resumed?: boolean; expected: boolean}> = [
+	{
+		name: 'less than the mean run time is left', observations: 20, leftMs: 999, expected: true,
+	},
+	{
+		name: 'the mean run time is left', observations: 20, leftMs: 1000, expected: false,
+	},
+	{
+		name: 'too few observations', observations: 19, leftMs: 1, expected: false,
+	},
+	{
+		name: 'a checkpointed task has run in part', observations: 20, leftMs: 1, resumed: true, expected: false,
+	},
+];
+
+for (const {name, observations, leftMs, resumed = false, expected} of cases) {
+	test(`tells whether a task will run out of time: ${name}`, () => {
+		const node = createNode({id: 'entry-1', zone: 'zone-a'});
+		node.shares.runTimes.set('mail', {meanMs: 1000, observations});
+		const task = {queue: 'mail', deadlineAt: leftMs, ...(resumed && {resume: {attemptId: 'a-1', workerId: 'w-1', notBefore: 0}})} as Task;
+		assert.equal(willRunOut(node, task, 0), expected);
+	});
+}
--- a/packages/core/src/tasks/dispatch-pool.ts
+++ b/packages/core/src/tasks/dispatch-pool.ts
@@ -9,6 +9,7 @@
 import {findResumeWorker} from '../shares/find-resume-worker.js';
 import {nextTask} from '../shares/next-task.js';
 import {removeTask} from '../shares/remove-task.js';
+import {willRunOut} from '../shares/will-run-out.js';
 import {endTask} from './end-task.js';
 
 function startAttempt(node: Node, task: Task, worker: Worker, at: number): Effect[] {
@@ -67,7 +68,7 @@
 			return effects;
 		}
 
-		if (task.deadlineAt <= at) {
+		if (task.deadlineAt <= at || willRunOut(node, task, at)) {
 			effects.push(...endTask(node, task, {type: 'refused', reason: 'deadline-exceeded'}, at));
 			continue;
 		}
