--- a/packages/core/src/shares/will-run-out.test.ts
+++ b/packages/core/src/shares/will-run-out.test.ts
@@ -24,7 +24,7 @@
 	test(`tells whether a task will run out of time: ${name}`, () => {
 		const node = createNode({id: 'entry-1', zone: 'zone-a'});
 		node.shares.runTimes.set('mail', {meanMs: 1000, observations});
-		const task = {queue: 'mail', deadlineAt: leftMs, ...(resumed && {resume: {attemptId: 'a-1', workerId: 'w-1', notBefore: 0}})} as Task;
+		const task: Pick<Task, 'queue' | 'deadlineAt' | 'resume'> = {queue: 'mail', deadlineAt: leftMs, ...(resumed && {resume: {attemptId: 'a-1', workerId: 'w-1', notBefore: 0}})};
 		assert.equal(willRunOut(node, task, 0), expected);
 	});
 }
--- a/packages/core/src/shares/will-run-out.ts
+++ b/packages/core/src/shares/will-run-out.ts
@@ -12,7 +12,7 @@
  * @example
  * if (willRunOut(node, task, at)) refuse(task, 'deadline-exceeded');
  */
-export function willRunOut(node: Node, task: Task, at: number): boolean {
+export function willRunOut(node: Node, task: Pick<Task, 'queue' | 'deadlineAt' | 'resume'>, at: number): boolean {
 	const runTime = node.shares.runTimes.get(task.queue);
 	if (runTime === undefined || runTime.observations < minimumObservations || task.resume !== undefined) {
 		return false;
--- a/packages/measure/src/control-pump.ts
+++ b/packages/measure/src/control-pump.ts
@@ -6,9 +6,8 @@
 import {type Listing} from '@rosemaryquay/core/store/transaction';
 import {createNode} from '@rosemaryquay/core/node/create-node';
 import {type User} from './load-user.js';
-import {
-	type CallOutcome, Pump, type UntimedEvent, type WorkerModel,
-} from './pump.js';
+import {Pump} from './pump.js';
+import {type CallOutcome, type UntimedEvent, type WorkerModel} from './pump-types.js';
 
 export const prefix = 'rosemaryquay/';
 const millisecondsPerSecond = 1000;
--- a/packages/measure/src/experiments/control-cost.ts
+++ b/packages/measure/src/experiments/control-cost.ts
@@ -12,7 +12,7 @@
 import {createNode} from '@rosemaryquay/core/node/create-node';
 import {reduce} from '@rosemaryquay/core/node/reduce';
 import {encodeFrame} from '@rosemaryquay/peer/encode-frame';
-import {type UntimedEvent} from '../pump.js';
+import {type UntimedEvent} from '../pump-types.js';
 import {checkBound} from '../check-bound.js';
 import {type Experiment} from '../experiment.js';
 
--- a/packages/measure/src/pump.ts
+++ b/packages/measure/src/pump.ts
@@ -15,48 +15,10 @@
 import {type Refusal} from '@rosemaryquay/core/refusal';
 import {StoreModel} from '@rosemaryquay/testing/store-model';
 import {StoreDriver} from './store-driver.js';
-
-/** An event before the pump gives it its time. */
-export type UntimedEvent = Event extends infer Member ? (Member extends Event ? Omit<Member, 'at'> : never) : never;
-
-/** What happened, in order of time. */
-export type TraceEntry =
-	| {readonly type: 'started'; readonly at: number; readonly node: string; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly team: string}
-	| {readonly type: 'ended'; readonly at: number; readonly node: string; readonly taskId: string; readonly attemptId: string; readonly workerId: string; readonly team: string; readonly outcome: AttemptOutcome}
-	| {readonly type: 'answered'; readonly at: number; readonly node: string; readonly taskId: string}
-	| {readonly type: 'refused'; readonly at: number; readonly node: string; readonly taskId: string; readonly refusal: Refusal};
-
-/** Outcome of a call to the in-memory store. */
-export type CallOutcome<Value> = {ok: true; value: Value} | {ok: false; reason: 'unavailable' | 'outcome-unknown'};
-
-/** Behaviour of the store at a moment. */
-export type StoreCondition = {
-	readonly down?: boolean;
-	readonly delayMs?: number;
-	/** Probability that an answer is lost after the write took effect. */
-	readonly loseAnswers?: number;
-	/** Probability that an answer comes twice. */
-	readonly duplicateAnswers?: number;
-	/** Probability that an answer comes after later ones. */
-	readonly lateAnswers?: number;
-};
-
-/** Behaviour of messages on their way, as probabilities. */
-export type Delivery = {
-	readonly delayMs: number;
-	readonly jitterMs: number;
-	readonly drop: number;
-	readonly duplicate: number;
-};
-
-/** How a worker treats an attempt: `undefined` runs it for `serviceTimeMs` and succeeds. */
-export type WorkerModel = {
-	slots: number;
-	/** Time that a worker needs to save a task's progress. */
-	checkpointMs?: number;
-	serviceTimeMs(taskId: string): number;
-	outcome?(attempt: {taskId: string; attemptId: string; workerId: string; at: number}): AttemptOutcome | undefined;
-};
+import {type Performer, performers} from './pump-performers.js';
+import {
+	type CallOutcome, type Delivery, type StoreCondition, type TraceEntry, type UntimedEvent, type WorkerModel,
+} from './pump-types.js';
 
 type Running = {
 	readonly effect: EffectOf<'start-attempt'>;
@@ -81,80 +43,6 @@
 
 type Item = {readonly at: number; readonly order: number; readonly run: () => void};
 
-type Performer<Type extends Effect['type']> = (pump: Pump, node: Node, effect: EffectOf<Type>) => void;
-
-const performers: {readonly [Type in Effect['type']]: Performer<Type>} = {
-	'start-attempt'(pump, node, effect) {
-		pump.startAttempt(node, effect);
-	},
-	'cancel-attempt'(pump, node, effect) {
-		pump.after(pump.workerDelayMs, () => {
-			pump.endAttempt(node.id, effect.attemptId, {type: 'lost', cause: 'connection-lost'});
-		});
-	},
-	'throttle-attempt'(pump, _node, {attemptId, durationMs}) {
-		pump.after(pump.workerDelayMs, () => {
-			pump.throttleAttempt(attemptId, durationMs);
-		});
-	},
-	'checkpoint-attempt'(pump, node, {attemptId}) {
-		pump.after(pump.workerDelayMs, () => {
-			pump.checkpointAttempt(node.id, attemptId);
-		});
-	},
-	answer(pump, node, effect) {
-		pump.trace.push({
-			type: 'answered', at: pump.now, node: node.id, taskId: effect.taskId,
-		});
-	},
-	'answer-recorded'(pump, node, effect) {
-		pump.trace.push({
-			type: 'answered', at: pump.now, node: node.id, taskId: effect.taskId,
-		});
-	},
-	refuse(pump, node, effect) {
-		pump.trace.push({
-			type: 'refused', at: pump.now, node: node.id, taskId: effect.taskId, refusal: effect.refusal,
-		});
-	},
-	'store-transact'(pump, node, {purpose, id, transaction}) {
-		pump.callStore(node.id, () => pump.store.transact(transaction), outcome => ({
-			type: 'store-transacted', purpose, id, outcome,
-		}));
-	},
-	'store-list'(pump, node, {purpose, id, prefix}) {
-		pump.callStore(node.id, () => pump.store.list(prefix), outcome => ({
-			type: 'store-listed', purpose, id, outcome,
-		}));
-	},
-	'store-watch'(pump, node, {purpose, id, prefix, fromRevision}) {
-		pump.storeDriver.watch(node.id, {
-			purpose, id, prefix, fromRevision,
-		});
-	},
-	'store-lease'(pump, node, effect) {
-		pump.storeDriver.callLease(node.id, effect);
-	},
-	'edit-answered'(pump, _node, {requestId, result}) {
-		pump.edits.set(requestId, {at: pump.now, result});
-	},
-	'peers-changed'() {
-		// Members reach each other without connections here.
-	},
-	report() {
-		// Reports are for logs.
-	},
-	'peer-send'(pump, node, {to, message}) {
-		pump.send(to, {type: 'peer-received', from: node.id, message});
-	},
-	count(pump, _node, effect) {
-		pump.counters.set(effect.counter, (pump.counters.get(effect.counter) ?? 0) + 1);
-	},
-	'shutdown-finished'(pump, node) {
-		pump.stop(node.id);
-	},
-};
-
 /** Renewals of a task lease within its time to live, as in the daemon. */
 const renewalsPerLease = 3;
 
--- a/packages/measure/src/run-limit-scenario.ts
+++ b/packages/measure/src/run-limit-scenario.ts
@@ -12,7 +12,8 @@
 import {type Node} from '@rosemaryquay/core/node/node';
 import {feedMembers} from './feed-members.js';
 import {type User} from './load-user.js';
-import {Pump, type TraceEntry} from './pump.js';
+import {Pump} from './pump.js';
+import {type TraceEntry} from './pump-types.js';
 
 /** What a fault acts on. */
 export type Scene = {
--- a/packages/measure/src/scenario.ts
+++ b/packages/measure/src/scenario.ts
@@ -7,7 +7,8 @@
 import {type WorkClass} from '@rosemaryquay/core/catalogue/schema';
 import {createNode} from '@rosemaryquay/core/node/create-node';
 import {type User} from './load-user.js';
-import {Pump, type Delivery, type WorkerModel} from './pump.js';
+import {Pump} from './pump.js';
+import {type Delivery, type WorkerModel} from './pump-types.js';
 
 /** One request of the table. */
 export type Request = {
