Use the core's key generation and changes in the operators' routes

Cause: the routes generated keys and changed teams with code of their own beside the core's generateKey and changeKeys.

Conclusion: the logic stands once.

--- a/packages/cli/src/commands/state.ts
+++ b/packages/cli/src/commands/state.ts
@@ -9,7 +9,7 @@
 
 	override async execute(): Promise<number> {
 		const answer = await this.client.call({path: '/operator/members'});
-		return this.finish(answer, body => formatTable(body.members as Array<Record<string, unknown>>));
+		return this.finish(answer, body => [...formatTable(body.members as Array<Record<string, unknown>>), `Revision ${String(body.revisionInForce)} is in force everywhere`]);
 	}
 }
 
--- a/packages/daemon/src/operator/list-key-routes.ts
+++ b/packages/daemon/src/operator/list-key-routes.ts
@@ -1,11 +1,11 @@
-import {createHash, randomBytes} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {z} from 'zod';
+import {changeKeys} from '@rosemaryquay/core/catalogue/change-keys';
+import {generateKey, keyBytes} from '@rosemaryquay/core/catalogue/generate-key';
 import {nameSchema, type Team} from '@rosemaryquay/core/catalogue/schema';
 import {editEntry, type Editor} from './edit-entry.js';
 import {type OperatorRequest, type OperatorResponse, type OperatorRoute} from './operator-request.js';
 
-const keyBytes = 32;
-
 const giveSchema = z.strictObject({note: z.string().max(200).optional(), baseRevision: z.int().min(0).optional()});
 
 function problem(status: number, title: string): OperatorResponse {
@@ -29,16 +29,17 @@
 		return problem(400, parsed.success ? `"${keyName}" is not a name for a key` : z.prettifyError(parsed.error));
 	}
 
-	if (Object.hasOwn(team.keys, keyName)) {
+	const {note, baseRevision} = parsed.data;
+	const {key, hash} = generateKey(randomBytes(keyBytes));
+	const changed = changeKeys(team, {
+		type: 'give', name: keyName, hash, ...(note !== undefined && {note}),
+	});
+	if (!changed.ok) {
 		return problem(409, `Team "${teamName}" already has a key "${keyName}"; give one under another name and withdraw this one`);
 	}
 
-	const {note, baseRevision} = parsed.data;
-	const key = randomBytes(keyBytes).toString('base64url');
-	const hash = createHash('sha256').update(key).digest('hex');
-	const value = {...team, keys: {...team.keys, [keyName]: {hash, ...(note !== undefined && {note})}}};
 	const response = await editEntry(editor, {
-		operator: request.operator, section: 'teams', name: teamName, value, ...(baseRevision !== undefined && {baseRevision}),
+		operator: request.operator, section: 'teams', name: teamName, value: changed.team, ...(baseRevision !== undefined && {baseRevision}),
 	});
 	// Only the hash is stored: this answer is the one place where the key appears.
 	return response.status < 300 ? {status: response.status, body: {...response.body as Record<string, unknown>, key}} : response;
@@ -47,13 +48,13 @@
 async function withdrawKey(editor: Editor, request: OperatorRequest): Promise<OperatorResponse> {
 	const {team: teamName = '', key: keyName = ''} = request.parameters;
 	const team = findTeam(editor, teamName);
-	if (team === undefined || !Object.hasOwn(team.keys, keyName)) {
+	const changed = team === undefined ? undefined : changeKeys(team, {type: 'withdraw', name: keyName});
+	if (changed?.ok !== true) {
 		return problem(404, `There is no key "${keyName}" of a team "${teamName}"`);
 	}
 
-	const keys = Object.fromEntries(Object.entries(team.keys).filter(([name]) => name !== keyName));
 	return editEntry(editor, {
-		operator: request.operator, section: 'teams', name: teamName, value: {...team, keys},
+		operator: request.operator, section: 'teams', name: teamName, value: changed.team,
 	});
 }
 
--- a/packages/daemon/src/operator/list-state-routes.ts
+++ b/packages/daemon/src/operator/list-state-routes.ts
@@ -1,4 +1,5 @@
 import {type Node} from '@rosemaryquay/core/node/node';
+import {findMinimumRevision} from '@rosemaryquay/core/membership/find-minimum-revision';
 import {isFresh} from '@rosemaryquay/core/freshness/is-fresh';
 import {type Metrics} from '../create-metrics.js';
 import {type OperatorRoute} from './operator-request.js';
@@ -66,7 +67,7 @@
 				},
 			}),
 		},
-		{method: 'GET', path: '/operator/members', handler: () => ({status: 200, body: {members: describeMembers(node, now())}})},
+		{method: 'GET', path: '/operator/members', handler: () => ({status: 200, body: {revisionInForce: findMinimumRevision(node), members: describeMembers(node, now())}})},
 		{method: 'GET', path: '/operator/shares', handler: () => ({status: 200, body: {teams: describeShares(node)}})},
 		{
 			method: 'GET', path: '/operator/requests/:id', handler({parameters}) {
