--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -18,7 +18,6 @@
 import {EtcdStore} from '@rosemaryquay/platform/etcd-store';
 import {InstanceList} from '@rosemaryquay/platform/instance-list';
 import {type Settings} from '@rosemaryquay/core/settings/schema';
-import {CatalogueReader} from './catalogue-reader.js';
 import {type Logger} from './create-logger.js';
 import {createMetrics, type Metrics} from './create-metrics.js';
 import {type Host} from './host.js';
@@ -35,6 +34,7 @@
 import {performEffect} from './perform-effect.js';
 import {PlannerRunner} from './planner-runner.js';
 import {UsageReader} from './usage-reader.js';
+import {waitUntilReady} from './wait-until-ready.js';
 import {WorkerClient} from './worker-client.js';
 
 /** Requests that `rosemaryquay explain` can tell about. */
@@ -70,7 +70,6 @@
 	readonly #planner: PlannerRunner | undefined;
 	readonly #server: Server;
 	readonly #instanceList: InstanceList;
-	readonly #catalogueReader: CatalogueReader;
 	readonly #usageReader: UsageReader;
 	readonly #abort = new AbortController();
 	#finishShutdown: (() => void) | undefined;
@@ -89,7 +88,6 @@
 		this.#host = this.#createHost();
 		this.#instanceList = new InstanceList({url: settings.instanceList.url});
 		this.#trace = settings.log.trace ? createTrace(logger) : undefined;
-		this.#catalogueReader = new CatalogueReader({node: this.#node, now: () => this.#host.now()});
 		this.#peers = this.#createPeerHub();
 		const {poolActions} = settings.maintenance;
 		this.#planner = poolActions === undefined ? undefined : new PlannerRunner({host: this.#host, node: this.#node, settings: {...settings.maintenance, poolActions}});
@@ -122,7 +120,7 @@
 		void this.#repeat(tickIntervalMs, async () => {
 			this.#dispatch({type: 'tick', at: this.#host.now()});
 		});
-		await this.#catalogueReader.ready(catalogueTimeoutMs);
+		await waitUntilReady(this.#node, {now: () => this.#host.now(), timeoutMs: catalogueTimeoutMs});
 		await this.#refreshInstances();
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
--- /dev/null
+++ b/packages/daemon/src/wait-until-ready.ts
@@ -0,0 +1,29 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {isFresh} from '@rosemaryquay/core/freshness/is-fresh';
+import {type Node} from '@rosemaryquay/core/node/node';
+
+const pollIntervalMs = 5;
+
+/**
+ * Waits until the reducer has the configuration in force and no correction of the store is due.
+ *
+ * @param node - the node, read only
+ * @param options - clock, and the longest wait in milliseconds
+ * @returns whether the node became ready in time
+ * @example
+ * await waitUntilReady(node, {now: () => performance.now(), timeoutMs: 5000});
+ */
+export async function waitUntilReady(node: Node, options: {now: () => number; timeoutMs: number}): Promise<boolean> {
+	const {now, timeoutMs} = options;
+	const until = now() + timeoutMs;
+	while (now() < until) {
+		const {catalogue} = node;
+		if (isFresh(node, now()) && catalogue.correctAt === undefined && catalogue.correcting === undefined && !catalogue.listing) {
+			return true;
+		}
+
+		await delay(pollIntervalMs);
+	}
+
+	return false;
+}
