Check confirmed ends as the platform counts them

Cause: the checker took an end as noted once a worker had reported it, also when the report was lost on its way. An end counts from its confirmation by the owner, unless the lease has lapsed between; this case is allowed for good. Change: an end counts as shown when its report reaches the owner, and as confirmed when the owner says so. New and stricter: a start between an end and its later confirmation counts as a second run too, which was not checked before. Lapses of a lease are now seen at every call, not only at reports.

--- a/packages/testing/src/jobs/checker.ts
+++ b/packages/testing/src/jobs/checker.ts
@@ -28,6 +28,9 @@
 	readonly #live = new Map<string, Live[]>();
 	readonly #done = new Set<string>();
 	readonly #shownDone = new Map<string, number>();
+	readonly #confirmedDone = new Set<string>();
+	/** Tasks that were started after they were done, while no owner had confirmed that. */
+	readonly #restarted = new Set<string>();
 	readonly #shownFailures = new Map<string, Map<number, number>>();
 	#configuration: Configuration;
 
@@ -109,6 +112,17 @@
 		}
 	}
 
+	confirmed({task, end}: EndedTask, at: number): void {
+		if (end !== 'done') {
+			return;
+		}
+
+		this.#confirmedDone.add(task);
+		if (this.#restarted.has(task)) {
+			this.#report(at, `${task}: confirmed as done, though it was started again before`);
+		}
+	}
+
 	#report(at: number, text: string): void {
 		this.violations.push(`${Math.round(at)} ms ${text}`);
 	}
@@ -129,8 +143,10 @@
 			this.#report(at, `${task}: two runs at the same time, the other one on ${others[0]?.worker}`);
 		}
 
-		if (at > (this.#shownDone.get(task) ?? at) + noticeMs) {
+		if (this.#confirmedDone.has(task) || at > (this.#shownDone.get(task) ?? at) + noticeMs) {
 			this.#report(at, `${task}: started again after it was done`);
+		} else if (this.#done.has(task)) {
+			this.#restarted.add(task);
 		}
 	}
 
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -89,8 +89,10 @@
 			const sentAt = this.now;
 			// Waiting for an end is left out: the report comes after a fifth of the time at most.
 			this.at(this.now + Math.min(waitMs, 50), () => {
-				this.#carry(worker, model => {
-					const report = model.report(this.now, {fence: owner.fence, storedEnd, leaseUntilMs});
+				this.#carry(worker, (model, isHeard) => {
+					const report = model.report(this.now, {
+						fence: owner.fence, storedEnd, leaseUntilMs, isHeard,
+					});
 					return () => {
 						this.dispatch(report === 'fenced'
 							? {type: 'report-failed', worker, outcome: 'fenced'}
@@ -149,7 +151,7 @@
 		},
 		move: ({instance, pool}, owner) => {
 			this.#deliver(() => {
-				this.#move(instance, pool);
+				this.moveInstance(instance, pool);
 				this.dispatch({
 					type: 'move-answered', instance, pool, outcome: 'accepted',
 				}, owner);
@@ -367,7 +369,7 @@
 	}
 
 	/** Carries an order to a worker and its answer back, with the faults in force. */
-	#carry(worker: string, carryOut: (model: WorkerModel) => () => void, giveUp: () => void): void {
+	#carry(worker: string, carryOut: (model: WorkerModel, isHeard: boolean) => () => void, giveUp: () => void): void {
 		const sentAt = this.now;
 		const isLate = this.draw(1, partsPerThousand) <= this.lateOrders;
 		const isLost = this.draw(1, partsPerThousand) <= this.lostAnswers;
@@ -376,8 +378,8 @@
 		this.at(sentAt + delayMs, () => {
 			const model = this.workers.get(worker);
 			if (model?.isAlive && !this.silent.has(worker)) {
-				const answer = carryOut(model);
 				isAnswered = !isLate && !isLost;
+				const answer = carryOut(model, isAnswered);
 				if (isAnswered) {
 					this.#deliver(answer);
 				}
@@ -438,7 +440,7 @@
 	}
 
 	/** Takes an instance to another pool; a worker of that pool runs there afterwards, none in a spare pool. */
-	#move(id: string, pool: string): void {
+	moveInstance(id: string, pool: string): void {
 		const instance = this.instances.get(id);
 		if (instance?.state !== 'up' || instance.pool === pool) {
 			return;
--- a/packages/testing/src/jobs/worker-model.ts
+++ b/packages/testing/src/jobs/worker-model.ts
@@ -26,8 +26,10 @@
 export type Journal = {
 	started(worker: string, task: string, run: number, at: number): void;
 	ended(worker: string, task: string, run: number, end: TaskEnd, at: number): void;
-	/** The worker has shown the end to the owner, and its lease has held from the end until then. */
+	/** A report with the end has reached the owner, and the worker's lease has held from the end until then. */
 	shown(ended: EndedTask, at: number): void;
+	/** The owner has confirmed the end, and the worker's lease has held from the end until then. */
+	confirmed(ended: EndedTask, at: number): void;
 };
 
 /** Time that a lasting task takes until it is at work. */
@@ -112,24 +114,26 @@
 		return {outcome: 'accepted', clockMs: now};
 	}
 
-	report(now: number, request: {fence: number; storedEnd: number; leaseUntilMs: number | undefined}): WorkerReport | 'fenced' {
+	/** Reports what runs and what has ended; `isHeard` tells whether the report will reach the owner. */
+	report(now: number, request: {fence: number; storedEnd: number; leaseUntilMs: number | undefined; isHeard?: boolean}): WorkerReport | 'fenced' {
 		this.advance(now);
-		const {fence, storedEnd, leaseUntilMs} = request;
+		const {fence, storedEnd, leaseUntilMs, isHeard = true} = request;
 		if (fence < this.#fence) {
 			return 'fenced';
 		}
 
 		this.#fence = fence;
-		if (this.#leaseUntilMs <= now) {
-			this.#lapsedEnd = this.#endNumber;
-		}
-
 		this.#leaseUntilMs = Math.max(this.#leaseUntilMs, leaseUntilMs ?? 0);
-		this.#ended = this.#ended.filter(({number}) => number > storedEnd);
 		for (const ended of this.#ended.filter(({number}) => number > this.#lapsedEnd)) {
-			this.#journal.shown(ended, now);
+			if (ended.number <= storedEnd) {
+				this.#journal.confirmed(ended, now);
+			} else if (isHeard) {
+				this.#journal.shown(ended, now);
+			}
 		}
 
+		this.#ended = this.#ended.filter(({number}) => number > storedEnd);
+
 		return {
 			bornMs: this.listing.bornMs, clockMs: now, running: [...this.#runs.values()].map(run => describeRun(run, now)), ended: [...this.#ended],
 		};
@@ -146,6 +150,10 @@
 				}), endAt);
 			}
 		}
+
+		if (this.#leaseUntilMs <= now) {
+			this.#lapsedEnd = this.#endNumber;
+		}
 	}
 
 	/** Loses power; everything that ran is gone without a report. */
