End the lives of workers whose instance has moved or rebooted

Change: the record of holders names their instances; the list of instances is read at once after a takeover, and a worker that has not answered since has ended when its instance moves, reboots, or runs another worker. The test in takeover.test.ts fails without it.

--- a/packages/core/src/jobs/create-scheduler.ts
+++ b/packages/core/src/jobs/create-scheduler.ts
@@ -1,6 +1,6 @@
 import {type Configuration} from './configuration-schema.js';
 import {
-	leaseSlackMs, runLeaseMs, slowestClockRate, takeoverSettlingMs,
+	leaseSlackMs, runLeaseMs, slowestClockRate,
 } from './constants.js';
 import {createWorker} from './create-worker.js';
 import {type Holder, type Scheduler} from './scheduler.js';
@@ -50,7 +50,7 @@
 		summaryDueAt: 0,
 		summary: '',
 		instances: new Map(),
-		instancesDueAt: now + takeoverSettlingMs,
+		instancesDueAt: now,
 		instancesReading: false,
 		instancesAskedAt: Number.NEGATIVE_INFINITY,
 		poolLoads: new Map(),
@@ -59,11 +59,11 @@
 		waves: new Map(),
 		dirtyWaves: new Set(),
 	};
-	for (const {id, address} of holders) {
-		const worker = createWorker({id, address, now});
+	for (const holder of holders) {
+		const worker = createWorker({...holder, now});
 		worker.recorded = true;
 		worker.unresolvedUntil = now + (leaseMs / slowestClockRate) + leaseSlackMs;
-		scheduler.workers.set(id, worker);
+		scheduler.workers.set(worker.id, worker);
 	}
 
 	return scheduler;
--- a/packages/core/src/jobs/record-instances.ts
+++ b/packages/core/src/jobs/record-instances.ts
@@ -1,9 +1,11 @@
-import {idleInstanceListIntervalMs, instanceListIntervalMs} from './constants.js';
+import {idleInstanceListIntervalMs, instanceListIntervalMs, takeoverSettlingMs} from './constants.js';
+import {endLife} from './end-life.js';
 import {type ListedInstance, type Upkeep, type Wave} from './instance.js';
 import {type Pass} from './pass.js';
+import {type Worker} from './scheduler.js';
 
 /**
- * Takes in the list of instances. An upkeep is over when a list that was read after its acceptance shows the instance up,
+ * Takes in the list of instances. A worker that has not answered since has ended when its instance is listed without it. An upkeep is over when a list that was read after its acceptance shows the instance up,
  * or when the instance has left the list.
  *
  * @param pass - the pass; its state is changed
@@ -21,6 +23,12 @@
 		scheduler.instances.set(instance.id, instance);
 	}
 
+	for (const worker of scheduler.workers.values()) {
+		if (askedAt > worker.answeredAt && isReplaced(worker, scheduler.instances.get(worker.instance))) {
+			endLife(pass, worker, 'instance-replaced');
+		}
+	}
+
 	let isBusy = scheduler.moves.size > 0;
 	for (const wave of scheduler.waves.values()) {
 		isBusy ||= !wave.completed;
@@ -29,7 +37,18 @@
 		}
 	}
 
-	scheduler.instancesDueAt = now + (isBusy ? instanceListIntervalMs : idleInstanceListIntervalMs);
+	// What a former owner ordered last may show only after a while.
+	const isSettled = askedAt >= scheduler.tookOverAt + takeoverSettlingMs;
+	scheduler.instancesDueAt = isSettled ? now + (isBusy ? instanceListIntervalMs : idleInstanceListIntervalMs) : scheduler.tookOverAt + takeoverSettlingMs;
+}
+
+/** A worker ends when its instance moves or reboots; another one runs on the instance afterwards. */
+function isReplaced({id}: Worker, instance: ListedInstance | undefined): boolean {
+	if (instance === undefined) {
+		return false;
+	}
+
+	return instance.state === 'moving' || instance.state === 'upkeep' || (instance.state === 'up' && instance.worker !== '' && instance.worker !== id);
 }
 
 function recordState(pass: Pass, wave: Wave, options: {upkeep: Upkeep; askedAt: number}): void {
--- a/packages/core/src/jobs/reduce-scheduler.ts
+++ b/packages/core/src/jobs/reduce-scheduler.ts
@@ -77,9 +77,10 @@
 		}
 
 		const known = scheduler.workers.get(listing.id);
-		const worker = known ?? createWorker({id: listing.id, address: listing.address, now});
+		const worker = known ?? createWorker({...listing, now});
 		worker.listing = listing;
 		worker.address = listing.address;
+		worker.instance = listing.instance;
 		worker.heardAt = now;
 		if (known === undefined) {
 			scheduler.workers.set(worker.id, worker);
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -20,13 +20,20 @@
 };
 
 /** A worker that an owner of the schedule has given tasks to. */
-export type Holder = {readonly id: string; readonly address: string};
+export type Holder = {
+	readonly id: string;
+	readonly address: string;
+	/** Instance that the worker runs on; empty when it names none. */
+	readonly instance: string;
+};
 
 /** What the scheduler knows of a worker. */
 export type Worker = {
 	readonly id: string;
 	listing: ListedWorker | undefined;
 	address: string;
+	/** Instance that the worker runs on, also when the store no longer lists the worker; empty when it names none. */
+	instance: string;
 	bornMs: number;
 	/** The worker has answered this owner, and so refuses earlier ones. */
 	confirmed: boolean;
--- a/packages/core/src/jobs/write-progress.ts
+++ b/packages/core/src/jobs/write-progress.ts
@@ -39,7 +39,7 @@
 	}
 
 	if (scheduler.holdersDirty) {
-		writes.push({type: 'holders', holders: holders.map(({id, address}) => ({id, address}))});
+		writes.push({type: 'holders', holders: holders.map(({id, address, instance}) => ({id, address, instance}))});
 	}
 
 	scheduler.commitNumber++;
--- a/packages/daemon/src/jobs/decode-stored-jobs.ts
+++ b/packages/daemon/src/jobs/decode-stored-jobs.ts
@@ -6,7 +6,7 @@
 import {type Entry} from '@rosemaryquay/core/store/transaction';
 import {type JobPart, parseJobKey, wavesPrefix} from './keys.js';
 
-const holdersSchema = z.array(z.object({id: z.string(), address: z.string()}));
+const holdersSchema = z.array(z.object({id: z.string(), address: z.string(), instance: z.string().default('')}));
 
 /** A stored job that has not ended. */
 export type StoredJob = {
--- a/packages/testing/src/jobs/takeover.test.ts
+++ b/packages/testing/src/jobs/takeover.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {type ListedInstance} from '@rosemaryquay/core/jobs/instance';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 import {FleetModel} from './fleet-model.js';
 import {type Behaviour} from './worker-model.js';
@@ -116,4 +117,33 @@
 		assert.deepEqual(fleet.checker.violations, []);
 		assert.deepEqual(fleet.unfinished, []);
 	});
+
+	it('guards against waiting for workers whose instance the former owner has moved or rebooted', () => {
+		const workers = createWorkers(4);
+		const instances: ListedInstance[] = workers.map(({id, instance, service, availabilityZone, capacity}) => ({
+			id: instance, pool: service, state: 'up', availabilityZone, capacity, worker: id,
+		}));
+		const fleet = new FleetModel({
+			seed: 7, configuration: createConfiguration(), workers, instances,
+		});
+		fleet.takeOver();
+		for (let count = 0; count < 8; count++) {
+			fleet.submit(createJob(`first${count}`, {steps: [{count: 4, cpuMillis: 2000, estimatedMs: 400}]}));
+		}
+
+		// Cut from the store, the owner cannot record that the worker is gone.
+		fleet.at(1000, () => {
+			fleet.killOwner();
+			fleet.moveInstance('m1', 'reserve');
+		});
+		fleet.at(1200, () => {
+			fleet.submit(createJob('second'));
+		});
+		fleet.at(1500, () => {
+			fleet.takeOver();
+		});
+		fleet.run(3000);
+		assert.deepEqual(fleet.checker.violations, []);
+		assert.deepEqual(fleet.unfinished, []);
+	});
 });
