Count workers of instances in a spare pool as ended

Instances of a spare pool are off and run no worker, so that the list names none to compare with. Change: an instance in a spare pool ends the worker that ran on it. The new case of the test in takeover.test.ts fails without it.

--- a/packages/core/src/jobs/record-instances.ts
+++ b/packages/core/src/jobs/record-instances.ts
@@ -23,8 +23,9 @@
 		scheduler.instances.set(instance.id, instance);
 	}
 
+	const sparePools = new Set(scheduler.configuration.pools.filter(({spare}) => spare).map(({name}) => name));
 	for (const worker of scheduler.workers.values()) {
-		if (askedAt > worker.answeredAt && isReplaced(worker, scheduler.instances.get(worker.instance))) {
+		if (askedAt > worker.answeredAt && isReplaced(worker, scheduler.instances.get(worker.instance), sparePools)) {
 			endLife(pass, worker, 'instance-replaced');
 		}
 	}
@@ -42,13 +43,16 @@
 	scheduler.instancesDueAt = isSettled ? now + (isBusy ? instanceListIntervalMs : idleInstanceListIntervalMs) : scheduler.tookOverAt + takeoverSettlingMs;
 }
 
-/** A worker ends when its instance moves or reboots; another one runs on the instance afterwards. */
-function isReplaced({id}: Worker, instance: ListedInstance | undefined): boolean {
+/** A worker ends when its instance moves or reboots; afterwards another one runs there, in a spare pool none. */
+function isReplaced({id}: Worker, instance: ListedInstance | undefined, sparePools: ReadonlySet<string>): boolean {
 	if (instance === undefined) {
 		return false;
 	}
 
-	return instance.state === 'moving' || instance.state === 'upkeep' || (instance.state === 'up' && instance.worker !== '' && instance.worker !== id);
+	return instance.state === 'moving'
+		|| instance.state === 'upkeep'
+		|| sparePools.has(instance.pool)
+		|| (instance.state === 'up' && instance.worker !== '' && instance.worker !== id);
 }
 
 function recordState(pass: Pass, wave: Wave, options: {upkeep: Upkeep; askedAt: number}): void {
--- a/packages/testing/src/jobs/takeover.test.ts
+++ b/packages/testing/src/jobs/takeover.test.ts
@@ -118,32 +118,34 @@
 		assert.deepEqual(fleet.unfinished, []);
 	});
 
-	it('guards against waiting for workers whose instance the former owner has moved or rebooted', () => {
-		const workers = createWorkers(4);
-		const instances: ListedInstance[] = workers.map(({id, instance, service, availabilityZone, capacity}) => ({
-			id: instance, pool: service, state: 'up', availabilityZone, capacity, worker: id,
-		}));
-		const fleet = new FleetModel({
-			seed: 7, configuration: createConfiguration(), workers, instances,
-		});
-		fleet.takeOver();
-		for (let count = 0; count < 8; count++) {
-			fleet.submit(createJob(`first${count}`, {steps: [{count: 4, cpuMillis: 2000, estimatedMs: 400}]}));
-		}
-
-		// Cut from the store, the owner cannot record that the worker is gone.
-		fleet.at(1000, () => {
-			fleet.killOwner();
-			fleet.moveInstance('m1', 'reserve');
-		});
-		fleet.at(1200, () => {
-			fleet.submit(createJob('second'));
-		});
-		fleet.at(1500, () => {
+	for (const {state, takeOverAt} of [{state: 'on its way', takeOverAt: 1500}, {state: 'in the spare pool', takeOverAt: 3000}]) {
+		it(`guards against waiting for a worker whose instance the former owner has moved: ${state}`, () => {
+			const workers = createWorkers(4);
+			const instances: ListedInstance[] = workers.map(({id, instance, service, availabilityZone, capacity}) => ({
+				id: instance, pool: service, state: 'up', availabilityZone, capacity, worker: id,
+			}));
+			const fleet = new FleetModel({
+				seed: 7, configuration: createConfiguration(), workers, instances,
+			});
 			fleet.takeOver();
+			for (let count = 0; count < 8; count++) {
+				fleet.submit(createJob(`first${count}`, {steps: [{count: 4, cpuMillis: 2000, estimatedMs: 400}]}));
+			}
+
+			// Cut from the store, the owner cannot record that the worker is gone.
+			fleet.at(1000, () => {
+				fleet.killOwner();
+				fleet.moveInstance('m1', 'reserve');
+			});
+			fleet.at(takeOverAt - 300, () => {
+				fleet.submit(createJob('second'));
+			});
+			fleet.at(takeOverAt, () => {
+				fleet.takeOver();
+			});
+			fleet.run(takeOverAt + 1500);
+			assert.deepEqual(fleet.checker.violations, []);
+			assert.deepEqual(fleet.unfinished, []);
 		});
-		fleet.run(3000);
-		assert.deepEqual(fleet.checker.violations, []);
-		assert.deepEqual(fleet.unfinished, []);
-	});
+	}
 });
