--- a/packages/testing/src/jobs/checker.ts
+++ b/packages/testing/src/jobs/checker.ts
@@ -26,11 +26,12 @@
 	readonly #jobs = new Map<string, Job>();
 	readonly #cancelledAt = new Map<string, number>();
 	readonly #live = new Map<string, Live[]>();
-	readonly #done = new Set<string>();
+	/** Runs that ended as done, by task. */
+	readonly #done = new Map<string, number[]>();
 	readonly #shownDone = new Map<string, number>();
 	readonly #confirmedDone = new Set<string>();
-	/** Tasks that were started after they were done, while no owner had confirmed that. */
-	readonly #restarted = new Set<string>();
+	/** Runs that were done before a later start of their task, while no owner had confirmed them. */
+	readonly #overtaken = new Set<string>();
 	readonly #shownFailures = new Map<string, Map<number, number>>();
 	#configuration: Configuration;
 
@@ -97,7 +98,7 @@
 	ended(worker: string, task: string, run: number, end: TaskEnd): void {
 		this.#live.set(task, (this.#live.get(task) ?? []).filter(live => live.worker !== worker || live.run !== run));
 		if (end === 'done') {
-			this.#done.add(task);
+			this.#done.set(task, [...this.#done.get(task) ?? [], run]);
 		}
 	}
 
@@ -112,13 +113,13 @@
 		}
 	}
 
-	confirmed({task, end}: EndedTask, at: number): void {
+	confirmed({task, run, end}: EndedTask, at: number): void {
 		if (end !== 'done') {
 			return;
 		}
 
 		this.#confirmedDone.add(task);
-		if (this.#restarted.has(task)) {
+		if (this.#overtaken.has(`${task} ${run}`)) {
 			this.#report(at, `${task}: confirmed as done, though it was started again before`);
 		}
 	}
@@ -145,8 +146,10 @@
 
 		if (this.#confirmedDone.has(task) || at > (this.#shownDone.get(task) ?? at) + noticeMs) {
 			this.#report(at, `${task}: started again after it was done`);
-		} else if (this.#done.has(task)) {
-			this.#restarted.add(task);
+		}
+
+		for (const run of this.#done.get(task) ?? []) {
+			this.#overtaken.add(`${task} ${run}`);
 		}
 	}
 
