Refuse calls at once while the store is away, and answer before the deadline

Change: a call is answered with 504 before its deadline; while neither the watch nor any call has had an answer for 1.8 s calls get 503 at once with a Retry-After of 1 or 2 s, and a probe every 0.25 s notices when the store is back.

--- a/packages/daemon/src/jobs/entry-server.ts
+++ b/packages/daemon/src/jobs/entry-server.ts
@@ -26,8 +26,12 @@
 /** Part of the time to bring a configuration into force during which it may be used to refuse a call. */
 const usableRefusalPart = 0.75;
 
-/** Time after which a caller of an instance that cannot serve is asked to come back; others may serve it at once. */
+/** Shortest time after which a caller is asked to come back, and the spread that keeps refused callers from returning all at once. */
 const retryAfterSeconds = 1;
+const retrySpreadSeconds = 1;
+
+/** Time without any answer from the store after which calls that need it are refused at once; its watch answers every second. */
+const storeAwayMs = 1800;
 
 /** Attempts to accept a job while the configuration changes beneath it. */
 const acceptanceAttempts = 3;
@@ -163,7 +167,17 @@
 		const call: Call = {
 			request, queue, organisation, id, deadlineAt: arrivedAt + (platform.callers.readDeadline(request.headers) ?? defaultDeadlineMs) - answerReserveMs,
 		};
-		return this.#dispatch(call);
+		return this.#isStoreAway() ? unavailable('store-away') : answerInTime(this.#dispatch(call), call);
+	}
+
+	#isStoreAway(): boolean {
+		const {operators, jobs} = this.#options;
+		const isAway = Math.min(operators.ageMs, performance.now() - jobs.answeredAt) > storeAwayMs;
+		if (isAway) {
+			jobs.probe();
+		}
+
+		return isAway;
 	}
 
 	async #dispatch(call: Call): Promise<Answer> {
@@ -294,7 +308,22 @@
 }
 
 function unavailable(reason: string): Answer {
-	return {status: 503, reason, retryAfterSeconds};
+	return {status: 503, reason, retryAfterSeconds: retryAfterSeconds + Math.round(Math.random() * retrySpreadSeconds)};
+}
+
+/** Answers before the caller's deadline passes, though the outcome is not known by then. */
+async function answerInTime(answer: Promise<Answer>, {deadlineAt}: Call): Promise<Answer> {
+	let timer: NodeJS.Timeout | undefined;
+	const late = new Promise<Answer>(resolve => {
+		timer = setTimeout(() => {
+			resolve({status: 504, reason: 'outcome-unknown: no answer from the store in time'});
+		}, Math.max(0, deadlineAt - performance.now()));
+	});
+	try {
+		return await Promise.race([answer, late]);
+	} finally {
+		clearTimeout(timer);
+	}
 }
 
 function createJob(submission: Submission, options: {id: string; queue: Queue; organisation: string}): Job {
--- a/packages/daemon/src/jobs/job-store.ts
+++ b/packages/daemon/src/jobs/job-store.ts
@@ -13,6 +13,9 @@
 /** Pause before a call that the store did not answer is repeated. */
 const retryPauseMs = 100;
 
+/** Pause between two probes of a store that is away; the first answer ends the refusals. */
+const probeIntervalMs = 250;
+
 /** Age above which a summary of the queues counts as left behind by an owner that is gone; twice its interval. */
 const summaryLimitMs = 2500;
 
@@ -37,12 +40,19 @@
 /** Reads and writes stored jobs on behalf of callers. */
 export class JobStore {
 	readonly #store: Store;
+	#answeredAt = Number.NEGATIVE_INFINITY;
+	#probedAt = Number.NEGATIVE_INFINITY;
 	readonly #ends = new LRUCache<string, FoundJob>({max: rememberedEnds});
 
 	constructor(options: {store: Store}) {
 		this.#store = options.store;
 	}
 
+	/** Local steady time in milliseconds at which the store last answered a call. */
+	get answeredAt(): number {
+		return this.#answeredAt;
+	}
+
 	/**
 	 * Stores a job while the configuration that allows it is in force. A job that is stored already is accepted again.
 	 *
@@ -56,11 +66,11 @@
 		const value = JSON.stringify(job);
 		let isUnknown = false;
 		for (;;) {
-			const outcome = await this.#store.transact({
+			const outcome = await this.#call(this.#store.transact({
 				compare: [condition, {key, modRevision: 0}],
 				success: [{type: 'put', key, value}],
 				failure: [{type: 'get', key: condition.key}, {type: 'get', key}],
-			});
+			}));
 			if (outcome.ok && outcome.value.succeeded) {
 				return {type: 'accepted'};
 			}
@@ -92,7 +102,7 @@
 			return {ok: true, job: remembered};
 		}
 
-		const listing = await this.#store.list(createJobPrefix(id));
+		const listing = await this.#call(this.#store.list(createJobPrefix(id)));
 		if (!listing.ok) {
 			return {ok: false, detail: listing.detail ?? listing.reason};
 		}
@@ -114,11 +124,11 @@
 	 */
 	async cancel(id: string, job: FoundJob): Promise<boolean> {
 		const key = createJobKey(id, 'cancelled');
-		const outcome = await this.#store.transact({
+		const outcome = await this.#call(this.#store.transact({
 			compare: [{key: createJobKey(id, 'accepted'), modRevision: job.acceptedRevision}, {key, modRevision: 0}],
 			success: [{type: 'put', key, value: '{}'}],
 			failure: [{type: 'get', key}],
-		});
+		}));
 		return outcome.ok && (outcome.value.succeeded || outcome.value.entries[0] !== undefined);
 	}
 
@@ -129,7 +139,7 @@
 	 * @returns the number, or undefined when the store did not answer
 	 */
 	async countWaiting(queue: string): Promise<number | undefined> {
-		const listing = await this.#store.list(summaryKey);
+		const listing = await this.#call(this.#store.list(summaryKey));
 		if (!listing.ok) {
 			return undefined;
 		}
@@ -139,10 +149,28 @@
 			return summary.queues[queue]?.waiting ?? 0;
 		}
 
-		const all = await this.#store.list(jobsPrefix);
+		const all = await this.#call(this.#store.list(jobsPrefix));
 		return all.ok ? countUnfinished(all.value.entries, queue) : undefined;
 	}
 
+	/** Asks the store for a single key, to notice when it is back. */
+	probe(): void {
+		if (performance.now() - this.#probedAt > probeIntervalMs) {
+			this.#probedAt = performance.now();
+			void this.#call(this.#store.list(summaryKey));
+		}
+	}
+
+	/** Notes when the store answers. */
+	async #call<Outcome extends {readonly ok: boolean}>(call: Promise<Outcome>): Promise<Outcome> {
+		const outcome = await call;
+		if (outcome.ok) {
+			this.#answeredAt = performance.now();
+		}
+
+		return outcome;
+	}
+
 	#describeRefusal(isUnknown: boolean, entry: Entry | undefined): Acceptance {
 		return isUnknown ? {type: 'unknown', detail: 'The configuration changed after an unanswered call'} : {type: 'configuration-changed', entry};
 	}
