--- a/packages/testing/src/jobs/checker.ts
+++ b/packages/testing/src/jobs/checker.ts
@@ -22,6 +22,8 @@
 export class Checker implements Journal {
 	readonly violations: string[] = [];
 	readonly starts = new Map<string, number>();
+	/** Time of the first start of each task. */
+	readonly firstStarts = new Map<string, number>();
 	readonly #workers = new Map<string, ListedWorker>();
 	readonly #jobs = new Map<string, Job>();
 	readonly #cancelledAt = new Map<string, number>();
@@ -73,6 +75,7 @@
 
 	started(worker: string, task: string, run: number, at: number): void {
 		this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
+		this.firstStarts.set(task, this.firstStarts.get(task) ?? at);
 		const place = this.#locate(task);
 		if (place === undefined) {
 			this.#report(at, `${task}: started though no caller handed its job in`);
