Count tasks that may run unseen against the upper limits

Cause, found by a new test of the model: a worker that goes silent before a takeover runs on with tasks that the next owner has not seen, while new jobs of the same organisation fill its upper limit: 32,000 of 16,000 thousandths of a core. Change: until all holders have answered, what the recovered jobs could have running there counts for their organisation, at most what those workers hold. Known workers answer within some tens of milliseconds, so that only silent ones matter; organisations without a limit are not affected. The test in takeover.test.ts fails without it.

--- a/packages/core/src/jobs/create-scheduler.ts
+++ b/packages/core/src/jobs/create-scheduler.ts
@@ -42,6 +42,7 @@
 		endedJobs: new Map(),
 		members: new Map(),
 		usedByOrganisation: new Map(),
+		unseenByOrganisation: new Map(),
 		dirty: new Set(),
 		holdersDirty: false,
 		commit: undefined,
--- a/packages/core/src/jobs/is-within-limit.ts
+++ b/packages/core/src/jobs/is-within-limit.ts
@@ -5,7 +5,8 @@
 const nothing: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
 
 /**
- * Tells whether an organisation may have more running under its upper limit. A limit of 0 does not bind.
+ * Tells whether an organisation may have more running under its upper limit, which also counts what may run unseen after
+ * a takeover. A limit of 0 does not bind.
  *
  * @param scheduler - the state
  * @param job - the job whose organisation counts
@@ -21,7 +22,8 @@
 		return true;
 	}
 
-	const total = addResources(scheduler.usedByOrganisation.get(organisation) ?? nothing, need);
+	const known = addResources(scheduler.usedByOrganisation.get(organisation) ?? nothing, need);
+	const total = addResources(known, scheduler.unseenByOrganisation.get(organisation) ?? nothing);
 	return (limit.cpuMillis === 0 || total.cpuMillis <= limit.cpuMillis)
 		&& (limit.memoryMb === 0 || total.memoryMb <= limit.memoryMb)
 		&& (limit.accelerators === 0 || total.accelerators <= limit.accelerators);
--- a/packages/core/src/jobs/place-ready.ts
+++ b/packages/core/src/jobs/place-ready.ts
@@ -1,12 +1,14 @@
 import {askTickets} from './ask-tickets.js';
 import {chooseWorkers} from './choose-workers.js';
 import {compareRanks} from './compare-ranks.js';
+import {type Resources} from './configuration-schema.js';
 import {placementMisses} from './constants.js';
 import {findTerms} from './find-terms.js';
 import {isTurn} from './is-turn.js';
 import {isWithinLimit} from './is-within-limit.js';
 import {listOpenWorkers} from './list-open-workers.js';
 import {measureNeed} from './measure-need.js';
+import {measureUnseen} from './measure-unseen.js';
 import {addResources} from './add-resources.js';
 import {occupyWorker} from './occupy-worker.js';
 import {type Pass} from './pass.js';
@@ -26,6 +28,8 @@
 /** Stands for the service of a worker that the store no longer lists. */
 const anyService = '';
 
+const noUnseen = new Map<string, Resources>();
+
 /**
  * Places tasks whose turn has come on workers with room, in the order of their jobs' ranks, and orders their start.
  *
@@ -36,6 +40,7 @@
 export function placeReady(pass: Pass): void {
 	const {scheduler, now} = pass;
 	const unresolved = listUnresolvedServices(scheduler, now);
+	scheduler.unseenByOrganisation = unresolved.size === 0 ? noUnseen : measureUnseen(scheduler, now, job => isUnresolved(scheduler, job, unresolved));
 	const waiting: ActiveJob[] = [];
 	for (const job of scheduler.jobs.values()) {
 		if (job.cancelled || job.end !== undefined || (job.recovered && isUnresolved(scheduler, job, unresolved))) {
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -196,6 +196,8 @@
 	readonly endedJobs: Map<string, number>;
 	readonly members: Map<string, Member>;
 	readonly usedByOrganisation: Map<string, Resources>;
+	/** What tasks of a former owner may occupy on workers that have not answered yet, by organisation. */
+	unseenByOrganisation: ReadonlyMap<string, Resources>;
 	readonly dirty: Set<ActiveJob>;
 	holdersDirty: boolean;
 	commit: Commit | undefined;
--- a/packages/testing/src/jobs/takeover.test.ts
+++ b/packages/testing/src/jobs/takeover.test.ts
@@ -148,4 +148,35 @@
 			assert.deepEqual(fleet.unfinished, []);
 		});
 	}
+
+	it('guards against exceeding an upper limit by tasks that run unseen on a worker that went silent before a takeover', () => {
+		const configuration = createConfiguration({organisations: [{name: 'north', keys: ['key-north'], limit: {cpuMillis: 16_000}}, {name: 'south', keys: ['key-south']}]});
+		const fleet = new FleetModel({seed: 8, configuration, workers: createWorkers(4)});
+		fleet.takeOver();
+		for (let count = 0; count < 4; count++) {
+			fleet.submit(createJob(`first${count}`, {steps: [{count: 2, cpuMillis: 2000, estimatedMs: 3000}]}));
+		}
+
+		fleet.at(1000, () => {
+			fleet.killOwner();
+			fleet.silent.add('w1');
+			fleet.silent.add('w2');
+		});
+		fleet.at(1200, () => {
+			for (let count = 0; count < 8; count++) {
+				fleet.submit(createJob(`second${count}`, {steps: [{count: 2, cpuMillis: 2000, estimatedMs: 500}]}));
+			}
+		});
+		fleet.at(1500, () => {
+			fleet.takeOver();
+		});
+		fleet.at(1600, () => {
+			for (let count = 0; count < 8; count++) {
+				fleet.submit(createJob(`third${count}`, {steps: [{count: 2, cpuMillis: 2000, estimatedMs: 500}]}));
+			}
+		});
+		fleet.run(40_000);
+		assert.deepEqual(fleet.checker.violations, []);
+		assert.deepEqual(fleet.unfinished, []);
+	});
 });
