Add the operators' command line on the platform

Cause: on the platform operators had logs and metrics only; the earlier command line speaks to daemons that are not there. It changes nothing, since operators write configurations, withdrawn zones and waves into the store themselves. Not there: limits in use now, which only the owner's memory holds, and a check of the deploy file.

--- /dev/null
+++ b/packages/cli/src/fleet/describe-wait.ts
@@ -0,0 +1,64 @@
+import {type Configuration} from '@rosemaryquay/core/jobs/configuration-schema';
+import {type Job, type Progress} from '@rosemaryquay/core/jobs/job-schema';
+
+/** What the store holds of a job. */
+export type JobRecord = {
+	readonly job: Job;
+	readonly progress: Progress | undefined;
+	readonly cancelled: boolean;
+	/** State of a job that has ended. */
+	readonly end: string | undefined;
+};
+
+/**
+ * Explains from the store what a job waits for. What runs is not stored; the log of the owner shows it.
+ *
+ * @param record - the job as it is stored
+ * @param options - configuration in force and time of day in milliseconds
+ * @returns one line for each reason
+ * @example
+ * describeWait(record, {configuration, timeOfDay: Date.now()});
+ */
+export function describeWait(record: JobRecord, options: {configuration: Configuration; timeOfDay: number}): string[] {
+	const {job, cancelled, end} = record;
+	const {configuration, timeOfDay} = options;
+	if (end !== undefined) {
+		return [`It has ended as ${end}.`];
+	}
+
+	if (cancelled) {
+		return ['It is cancelled; the last of its tasks are being stopped.'];
+	}
+
+	const reasons: string[] = [];
+	const queue = configuration.queues.find(({name}) => name === job.queue);
+	if (queue === undefined) {
+		reasons.push(`Queue ${job.queue} is not in the configuration; the job keeps the terms of its acceptance.`);
+	}
+
+	const dueInMs = job.startAtMs - timeOfDay;
+	if (job.repeatCount > 0 && dueInMs > 0) {
+		return [...reasons, `Its first occurrence is due in ${Math.ceil(dueInMs / 1000)} s.`];
+	}
+
+	return [...reasons, ...describeSteps(record)];
+}
+
+function describeSteps({job, progress}: JobRecord): string[] {
+	const lines: string[] = [];
+	for (let occurrence = 0; occurrence < Math.max(1, job.repeatCount); occurrence++) {
+		const remaining = job.steps.map(({count}, step) => count - (progress?.done[`${occurrence}.${step}`]?.length ?? 0));
+		for (const [step, {after, count}] of job.steps.entries()) {
+			const open = after.filter(earlier => (remaining[earlier] ?? 0) > 0);
+			if (remaining[step] === 0) {
+				continue;
+			}
+
+			lines.push(open.length > 0
+				? `Occurrence ${occurrence}, step ${step}: waits for step ${open.join(' and ')}.`
+				: `Occurrence ${occurrence}, step ${step}: ${remaining[step]} of ${count} tasks are not done; they run, or wait for room, for the limit of ${job.organisation || 'their organisation'} or for a worker's lease.`);
+		}
+	}
+
+	return lines;
+}
--- a/packages/testing/src/jobs/kinds-of-tasks.test.ts
+++ b/packages/testing/src/jobs/kinds-of-tasks.test.ts
@@ -87,7 +87,7 @@
 	it('starts the members of a gang together', () => {
 		const togetherMs = 100;
 		for (let seed = 1; seed <= 5; seed++) {
-			const {checker} = playKind(seed, kinds['gang'] ?? createScheduled);
+			const {checker} = playKind(seed, kinds.gang ?? createScheduled);
 			for (let at = 0; at < 6000; at += 400) {
 				const times = [0, 1, 2, 3].map(index => checker.firstStarts.get(`kind${at}.0.0.${index}`) ?? Number.NaN);
 				assert.ok(Math.max(...times) - Math.min(...times) <= togetherMs, `seed ${seed}, kind${at}: ${times.join(', ')}`);
