Count a refused upkeep until the list of instances shows why

Change: such an upkeep is unclear and counts as under way until a list that was asked for afterwards shows the instance in its upkeep, or in another state. An instance in an unclear upkeep is not moved.

--- a/packages/core/src/jobs/advance-waves.ts
+++ b/packages/core/src/jobs/advance-waves.ts
@@ -65,6 +65,9 @@
 			requestUpkeep(pass, wave, upkeep);
 		}
 	},
+	unclear() {
+		// The list of instances tells why it is not up.
+	},
 	down() {
 		// The list of instances tells when it is back.
 	},
--- a/packages/core/src/jobs/instance.ts
+++ b/packages/core/src/jobs/instance.ts
@@ -22,7 +22,8 @@
 	readonly maximumDown: number;
 };
 
-export type UpkeepState = 'waiting' | 'emptying' | 'asking' | 'down' | 'done';
+/** An unclear one was refused because its instance is not up, which an earlier order without an answer may have caused. */
+export type UpkeepState = 'waiting' | 'emptying' | 'asking' | 'unclear' | 'down' | 'done';
 
 export type Upkeep = {
 	readonly instance: string;
--- a/packages/core/src/jobs/plan-moves.ts
+++ b/packages/core/src/jobs/plan-moves.ts
@@ -107,7 +107,7 @@
 		&& !scheduler.withdrawnZones.has(instance.availabilityZone)
 		&& ![...scheduler.waves.values()].some(({upkeeps}) => {
 			const state = upkeeps.get(instance.id)?.state;
-			return state === 'emptying' || state === 'asking' || state === 'down';
+			return state !== undefined && state !== 'waiting' && state !== 'done';
 		});
 }
 
--- a/packages/core/src/jobs/record-instances.ts
+++ b/packages/core/src/jobs/record-instances.ts
@@ -1,5 +1,6 @@
 import {idleInstanceListIntervalMs, instanceListIntervalMs, takeoverSettlingMs} from './constants.js';
 import {endLife} from './end-life.js';
+import {findWorkerOfInstance} from './find-worker-of-instance.js';
 import {type ListedInstance, type Upkeep, type Wave} from './instance.js';
 import {type Pass} from './pass.js';
 import {type Worker} from './scheduler.js';
@@ -58,13 +59,23 @@
 function recordState(pass: Pass, wave: Wave, options: {upkeep: Upkeep; askedAt: number}): void {
 	const {upkeep, askedAt} = options;
 	const listed = pass.scheduler.instances.get(upkeep.instance);
-	if (upkeep.state === 'waiting' && listed?.state === 'upkeep') {
-		// A former owner has asked for it.
+	const isUnclear = upkeep.state === 'unclear' && askedAt > upkeep.changedAt;
+	if ((upkeep.state === 'waiting' || isUnclear) && listed?.state === 'upkeep') {
+		// A former owner, or an order without an answer, has asked for it.
 		upkeep.state = 'down';
 		upkeep.acceptedAt = askedAt;
 		return;
 	}
 
+	if (isUnclear && listed !== undefined) {
+		upkeep.state = 'waiting';
+		upkeep.changedAt = pass.now;
+		const worker = findWorkerOfInstance(pass.scheduler, upkeep.instance);
+		if (worker !== undefined) {
+			worker.cordoned = false;
+		}
+	}
+
 	const isBack = upkeep.state === 'down' && askedAt > upkeep.acceptedAt && listed?.state === 'up';
 	const isGone = listed === undefined && upkeep.state !== 'asking' && upkeep.state !== 'done';
 	if (isBack || isGone) {
--- a/packages/core/src/jobs/record-upkeep.ts
+++ b/packages/core/src/jobs/record-upkeep.ts
@@ -44,10 +44,8 @@
 	}
 
 	if (outcome === 'busy') {
-		upkeep.state = 'waiting';
+		upkeep.state = 'unclear';
 		upkeep.changedAt = now;
-		if (worker !== undefined) {
-			worker.cordoned = false;
-		}
+		scheduler.instancesDueAt = Math.min(scheduler.instancesDueAt, now);
 	}
 }
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -67,6 +67,7 @@
 	owner: ModelOwner | undefined;
 	#configuration: Configuration;
 	readonly #waves: RequestedWave[] = [];
+	readonly #rebooted = new Set<string>();
 	#holders: readonly Holder[] = [];
 	readonly #doneInstances = new Map<number, readonly string[]>();
 	#fence = 0;
@@ -142,12 +143,22 @@
 			});
 		},
 		upkeep: ({instance, wave}, owner) => {
+			const isLost = this.draw(1, partsPerThousand) <= this.lostAnswers;
 			this.#deliver(() => {
-				this.#reboot(instance);
-				this.dispatch({
-					type: 'upkeep-answered', wave, instance, outcome: 'accepted',
-				}, owner);
+				const outcome = this.#answerUpkeep(instance);
+				if (!isLost) {
+					this.dispatch({
+						type: 'upkeep-answered', wave, instance, outcome,
+					}, owner);
+				}
 			});
+			if (isLost) {
+				this.at(this.now + callTimeoutMs, () => {
+					this.dispatch({
+						type: 'upkeep-answered', wave, instance, outcome: 'unanswered',
+					}, owner);
+				});
+			}
 		},
 		move: ({instance, pool}, owner) => {
 			this.#deliver(() => {
@@ -445,6 +456,20 @@
 		}
 	}
 
+	/** An instance that is not up is busy, also when an order before has taken it down; one that is done stays as it is. */
+	#answerUpkeep(id: string): 'accepted' | 'busy' {
+		if (this.#rebooted.has(id) && this.instances.get(id)?.state === 'up') {
+			return 'accepted';
+		}
+
+		if (this.instances.get(id)?.state !== 'up') {
+			return 'busy';
+		}
+
+		this.#reboot(id);
+		return 'accepted';
+	}
+
 	/** Takes an instance down for two seconds; a new worker runs on it afterwards. */
 	#reboot(id: string): void {
 		const instance = this.instances.get(id);
@@ -452,6 +477,7 @@
 			return;
 		}
 
+		this.#rebooted.add(id);
 		const listing = this.workers.get(instance.worker)?.listing;
 		this.instances.set(id, {...instance, state: 'upkeep', worker: ''});
 		this.mostDown = Math.max(this.mostDown, [...this.instances.values()].filter(({state}) => state === 'upkeep').length);
--- a/packages/testing/src/jobs/waves.test.ts
+++ b/packages/testing/src/jobs/waves.test.ts
@@ -65,4 +65,18 @@
 			assert.equal(fleet.waveStates.get(1), 'completed', `seed ${seed}`);
 		}
 	});
+
+	it('guards against taking down more than allowed when answers are lost and a repeated order finds the instance down', () => {
+		for (let seed = 1; seed <= 20; seed++) {
+			const fleet = createFleet(seed);
+			fleet.lostAnswers = 300;
+			fleet.at(40_000, () => {
+				fleet.lostAnswers = 0;
+			});
+			fleet.run(80_000);
+			assert.ok(fleet.mostDown <= 2, `seed ${seed}: ${fleet.mostDown} were down`);
+			assert.equal(fleet.waveStates.get(1), 'completed', `seed ${seed}`);
+			assert.deepEqual(fleet.checker.violations, [], `seed ${seed}`);
+		}
+	});
 });
