Export one function a file, and share what stood several times

Change: a file for each function; listen and find-port serve the three servers; pauses come from node:timers/promises; the instances of the model stand in a file of their own.

--- a/packages/cli/src/fleet/commands/catalogue.ts
+++ b/packages/cli/src/fleet/commands/catalogue.ts
@@ -1,8 +1,7 @@
 import {type Configuration} from '@rosemaryquay/core/jobs/configuration-schema';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
-import {
-	exitCodes, type Finding, formatSection, PlatformCommand,
-} from '../platform-command.js';
+import {formatSection} from '../format-section.js';
+import {exitCodes, type Finding, PlatformCommand} from '../platform-command.js';
 import {readFleet, type Reading} from '../read-fleet.js';
 
 /** `rosemaryquay-fleet catalogue`: the configuration in force, every entry with its owner, class and limits. */
--- a/packages/cli/src/fleet/commands/explain.ts
+++ b/packages/cli/src/fleet/commands/explain.ts
@@ -1,7 +1,8 @@
 import {readFile} from 'node:fs/promises';
 import {Command, Option} from 'clipanion';
-import {findLogLines, formatLogLine} from '../find-log-lines.js';
+import {findLogLines} from '../find-log-lines.js';
 import {type FleetContext} from '../fleet-context.js';
+import {formatLogLine} from '../format-log-line.js';
 import {exitCodes} from '../platform-command.js';
 
 /** `rosemaryquay-fleet explain ID FILE…`: what the logs of several processes say about a request or job. */
--- a/packages/cli/src/fleet/commands/jobs.ts
+++ b/packages/cli/src/fleet/commands/jobs.ts
@@ -1,12 +1,11 @@
 import {Option} from 'clipanion';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
 import {describeWait, type JobRecord} from '../describe-wait.js';
-import {
-	exitCodes, type Finding, formatSection, PlatformCommand,
-} from '../platform-command.js';
-import {
-	readFleet, readJob, type Reading, readOpenJobs,
-} from '../read-fleet.js';
+import {formatSection} from '../format-section.js';
+import {exitCodes, type Finding, PlatformCommand} from '../platform-command.js';
+import {readFleet, type Reading} from '../read-fleet.js';
+import {readJob} from '../read-job.js';
+import {readOpenJobs} from '../read-open-jobs.js';
 
 const defaultLimit = 50;
 
--- a/packages/cli/src/fleet/commands/status.ts
+++ b/packages/cli/src/fleet/commands/status.ts
@@ -1,7 +1,6 @@
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
-import {
-	exitCodes, type Finding, formatSection, PlatformCommand,
-} from '../platform-command.js';
+import {formatSection} from '../format-section.js';
+import {exitCodes, type Finding, PlatformCommand} from '../platform-command.js';
 import {readFleet, type Reading} from '../read-fleet.js';
 
 /** `rosemaryquay-fleet status`: owner of the schedule, workers, waiting jobs, withdrawn zones and waves. */
--- a/packages/cli/src/fleet/find-log-lines.test.ts
+++ b/packages/cli/src/fleet/find-log-lines.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {findLogLines, formatLogLine} from './find-log-lines.js';
+import {findLogLines} from './find-log-lines.js';
+import {formatLogLine} from './format-log-line.js';
 
 const line = (name: string, time: string, event: string, fields: Record<string, unknown> = {}) => JSON.stringify({
 	name, hostname: 'h', pid: 1, level: 30, ...fields, event, number: 1, msg: 'Text', time, v: 0,
--- a/packages/cli/src/fleet/find-log-lines.ts
+++ b/packages/cli/src/fleet/find-log-lines.ts
@@ -10,9 +10,6 @@
 /** A line of a process's log. */
 export type LogLine = z.infer<typeof lineSchema>;
 
-/** Fields that every line has; the others tell what happened. */
-const commonFields = new Set(['name', 'hostname', 'pid', 'level', 'event', 'number', 'msg', 'time', 'v']);
-
 /** Changes of the ownership explain delays of every request. */
 const ownershipEvents = new Set(['owner-elected', 'owner-took-over', 'owner-stepped-down', 'store-lost', 'store-regained']);
 
@@ -44,19 +41,6 @@
 	return {lines: first === -1 ? [] : lines.slice(first, last + 1), unreadable};
 }
 
-/**
- * Formats a line for a reader: time, process, event, and the fields that decided.
- *
- * @param line - the line
- * @returns the text
- * @example
- * findLogLines(texts, id).lines.map(line => formatLogLine(line));
- */
-export function formatLogLine(line: LogLine): string {
-	const fields = Object.entries(line).filter(([name]) => !commonFields.has(name)).map(([name, value]) => `${name}=${JSON.stringify(value)}`);
-	return [line.time, line.name, line.event, ...fields].join('  ');
-}
-
 function parseLine(text: string): LogLine | undefined {
 	try {
 		return lineSchema.safeParse(JSON.parse(text)).data;
--- a/packages/cli/src/fleet/platform-command.ts
+++ b/packages/cli/src/fleet/platform-command.ts
@@ -1,7 +1,6 @@
 import {readFile} from 'node:fs/promises';
 import {Command, Option} from 'clipanion';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
-import {formatTable} from '../format-table.js';
 import {type FleetContext} from './fleet-context.js';
 import {type Reading} from './read-fleet.js';
 
@@ -52,16 +51,3 @@
 		return exitCode;
 	}
 }
-
-/**
- * Formats rows under a heading.
- *
- * @param heading - name of what is listed
- * @param rows - objects with the same keys
- * @returns the lines
- * @example
- * formatSection('Pools', [{pool: 'planner', spare: false}]);
- */
-export function formatSection(heading: string, rows: ReadonlyArray<Record<string, unknown>>): string[] {
-	return [`${heading} (${rows.length})`, ...formatTable(rows).map(line => `  ${line}`), ''];
-}
--- a/packages/daemon/src/jobs/decode-stored-jobs.ts
+++ b/packages/daemon/src/jobs/decode-stored-jobs.ts
@@ -1,12 +1,9 @@
-import {z} from 'zod';
-import {
-	type Job, jobSchema, type Progress, progressSchema,
-} from '@rosemaryquay/core/jobs/job-schema';
-import {type Holder} from '@rosemaryquay/core/jobs/scheduler';
+import {type Job, type Progress, progressSchema} from '@rosemaryquay/core/jobs/job-schema';
 import {type Entry} from '@rosemaryquay/core/store/transaction';
-import {type JobPart, parseJobKey, wavesPrefix} from './keys.js';
-
-const holdersSchema = z.array(z.object({id: z.string(), address: z.string(), instance: z.string().default('')}));
+import {type JobPart} from './keys.js';
+import {parseJob} from './parse-job.js';
+import {parseJobKey} from './parse-job-key.js';
+import {parseWith} from './parse-with.js';
 
 /** A stored job that has not ended. */
 export type StoredJob = {
@@ -42,32 +39,3 @@
 
 	return jobs;
 }
-
-/** Parses a stored job; undefined for one that another program has written. */
-export function parseJob(value: string): Job | undefined {
-	return parseWith(jobSchema, value);
-}
-
-/** Parses the recorded holders; none when nothing is recorded yet. */
-export function parseHolders(value: string | undefined): Holder[] {
-	return value === undefined ? [] : parseWith(holdersSchema, value) ?? [];
-}
-
-/** Parses the instances of waves whose upkeep is finished. */
-export function parseWaves(entries: readonly Entry[]): Map<number, readonly string[]> {
-	const waves = new Map<number, readonly string[]>();
-	for (const {key, value} of entries) {
-		waves.set(Number(key.slice(wavesPrefix.length)), parseWith(z.array(z.string()), value) ?? []);
-	}
-
-	return waves;
-}
-
-function parseWith<Schema extends z.ZodType>(schema: Schema, value: string): z.infer<Schema> | undefined {
-	try {
-		const parsed = schema.safeParse(JSON.parse(value));
-		return parsed.success ? parsed.data : undefined;
-	} catch {
-		return undefined;
-	}
-}
--- a/packages/daemon/src/jobs/entry-server.ts
+++ b/packages/daemon/src/jobs/entry-server.ts
@@ -7,8 +7,10 @@
 import {type Job} from '@rosemaryquay/core/jobs/job-schema';
 import {type Logger} from '../create-logger.js';
 import {authorizeCall} from './authorize-call.js';
+import {findPort} from './find-port.js';
 import {findQueue} from './find-queue.js';
 import {type JobStore} from './job-store.js';
+import {listen} from './listen.js';
 import {type OperatorWatch} from './operator-watch.js';
 import {type Platform, type Submission} from './ports.js';
 import {type ProcessMetrics} from './process-metrics.js';
@@ -73,19 +75,12 @@
 	}
 
 	async start(): Promise<void> {
-		const {host, port} = this.#options.settings.callers;
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, () => {
-				resolve();
-			});
-		});
+		await listen(this.#server, this.#options.settings.callers);
 	}
 
 	/** Address that the server listens on. */
 	get port(): number {
-		const address = this.#server.address();
-		return typeof address === 'object' && address !== null ? address.port : 0;
+		return findPort(this.#server);
 	}
 
 	/** Asks callers to leave: every further answer closes its connection. */
@@ -269,13 +264,13 @@
 	}
 
 	async #tell(call: Call): Promise<Answer> {
-		const {platform, jobs} = this.#options;
+		const {platform} = this.#options;
 		const lookup = await this.#find(call);
 		if (!lookup.ok) {
 			return unavailable(`store-unavailable: ${lookup.detail}`);
 		}
 
-		return lookup.job === undefined || jobs === undefined ? {status: 410, reason: 'no-such-job'} : {status: 200, body: platform.callers.encodeState(lookup.job.state)};
+		return lookup.job === undefined ? {status: 410, reason: 'no-such-job'} : {status: 200, body: platform.callers.encodeState(lookup.job.state)};
 	}
 
 	async #cancel(call: Call): Promise<Answer> {
--- a/packages/daemon/src/jobs/follow-prefix.ts
+++ b/packages/daemon/src/jobs/follow-prefix.ts
@@ -1,6 +1,7 @@
 import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type Store} from '@rosemaryquay/core/store/store';
-import {type Change, type Entry, type Listing} from '@rosemaryquay/core/store/transaction';
+import {type Change, type Listing} from '@rosemaryquay/core/store/transaction';
 
 /** First and longest pause after a failed call; the store answers in milliseconds when it is well. */
 const backoffBaseMs = 50;
@@ -51,7 +52,7 @@
 
 			if (!listing.ok) {
 				follower.onLost?.(listing.detail ?? listing.reason);
-				await pause(pauseMs);
+				await delay(pauseMs);
 				pauseMs = Math.min(backoffLimitMs, pauseMs * 2);
 				continue;
 			}
@@ -69,7 +70,7 @@
 
 		if (!state.isEnded) {
 			follower.onLost?.(end.reason);
-			await pause(pauseMs);
+			await delay(pauseMs);
 			pauseMs = Math.min(backoffLimitMs, pauseMs * 2);
 		}
 	}
@@ -102,20 +103,3 @@
 		};
 	});
 }
-
-async function pause(durationMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-}
-
-/** Applies changes to a map of entries by key. */
-export function applyChanges(entries: Map<string, Entry>, changes: readonly Change[]): void {
-	for (const {key, value, modRevision} of changes) {
-		if (value === undefined) {
-			entries.delete(key);
-		} else {
-			entries.set(key, {key, value, modRevision});
-		}
-	}
-}
--- a/packages/daemon/src/jobs/job-store.ts
+++ b/packages/daemon/src/jobs/job-store.ts
@@ -1,13 +1,15 @@
 import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
 import {LRUCache} from 'lru-cache';
 import {z} from 'zod';
 import {type Job, type JobEnd, jobEndSchema} from '@rosemaryquay/core/jobs/job-schema';
 import {type Store} from '@rosemaryquay/core/store/store';
 import {type Comparison, type Entry} from '@rosemaryquay/core/store/transaction';
-import {parseJob} from './decode-stored-jobs.js';
-import {
-	createJobKey, createJobPrefix, jobsPrefix, parseJobKey, summaryKey,
-} from './keys.js';
+import {createJobKey} from './create-job-key.js';
+import {createJobPrefix} from './create-job-prefix.js';
+import {jobsPrefix, summaryKey} from './keys.js';
+import {parseJob} from './parse-job.js';
+import {parseJobKey} from './parse-job-key.js';
 import {type JobState} from './ports.js';
 
 /** Pause before a call that the store did not answer is repeated. */
@@ -86,7 +88,7 @@
 				return {type: isUnknown ? 'unknown' : 'unavailable', detail};
 			}
 
-			await pause(retryPauseMs);
+			await delay(retryPauseMs);
 		}
 	}
 
@@ -229,9 +231,3 @@
 
 	return count;
 }
-
-async function pause(durationMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-}
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -28,20 +28,3 @@
 /** Parts of a stored job. */
 export const jobParts = ['accepted', 'cancelled', 'progress', 'end'] as const;
 export type JobPart = (typeof jobParts)[number];
-
-/** Prefix of all keys of one job. */
-export function createJobPrefix(id: string): string {
-	return `${jobsPrefix}${id}/`;
-}
-
-/** Key of a part of a job. */
-export function createJobKey(id: string, part: JobPart): string {
-	return `${jobsPrefix}${id}/${part}`;
-}
-
-/** Splits the key of a part of a job; undefined for other keys. */
-export function parseJobKey(key: string): {readonly id: string; readonly part: JobPart} | undefined {
-	const [id, name, ...rest] = key.slice(jobsPrefix.length).split('/');
-	const part = jobParts.find(candidate => candidate === name);
-	return key.startsWith(jobsPrefix) && id !== undefined && part !== undefined && rest.length === 0 ? {id, part} : undefined;
-}
--- a/packages/daemon/src/jobs/late-writes.test.ts
+++ b/packages/daemon/src/jobs/late-writes.test.ts
@@ -6,7 +6,8 @@
 import {type Transaction} from '@rosemaryquay/core/store/transaction';
 import {StoreModel} from '@rosemaryquay/testing/store-model';
 import {createLogger} from '../create-logger.js';
-import {createJobKey, ownerKey} from './keys.js';
+import {createJobKey} from './create-job-key.js';
+import {ownerKey} from './keys.js';
 import {type EffectContext, performSchedulerEffect} from './perform-scheduler-effect.js';
 import {type Platform} from './ports.js';
 
--- a/packages/daemon/src/jobs/metrics-server.ts
+++ b/packages/daemon/src/jobs/metrics-server.ts
@@ -1,4 +1,6 @@
 import {createServer, type Server} from 'node:http';
+import {findPort} from './find-port.js';
+import {listen} from './listen.js';
 import {type ProcessMetrics} from './process-metrics.js';
 
 /** Serves the metrics as text at `/metrics`. */
@@ -22,18 +24,11 @@
 	}
 
 	get port(): number {
-		const address = this.#server.address();
-		return typeof address === 'object' && address !== null ? address.port : 0;
+		return findPort(this.#server);
 	}
 
 	async start(): Promise<void> {
-		const {host, port} = this.#address;
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, () => {
-				resolve();
-			});
-		});
+		await listen(this.#server, this.#address);
 	}
 
 	stop(): void {
--- a/packages/daemon/src/jobs/operator-watch.ts
+++ b/packages/daemon/src/jobs/operator-watch.ts
@@ -1,7 +1,8 @@
 import {performance} from 'node:perf_hooks';
 import {type Entry} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
-import {applyChanges, followPrefix} from './follow-prefix.js';
+import {applyChanges} from './apply-changes.js';
+import {followPrefix} from './follow-prefix.js';
 import {type OperatorState, type Platform} from './ports.js';
 
 /** Keeps what the operators ask for, and how old that knowledge is. */
--- a/packages/daemon/src/jobs/owner.ts
+++ b/packages/daemon/src/jobs/owner.ts
@@ -1,4 +1,5 @@
 import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
 import {addJob} from '@rosemaryquay/core/jobs/add-job';
 import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
 import {type SchedulerEffect} from '@rosemaryquay/core/jobs/effect';
@@ -9,15 +10,15 @@
 import {type Holder, type Scheduler} from '@rosemaryquay/core/jobs/scheduler';
 import {type Change} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
-import {
-	decodeStoredJobs, parseHolders, parseJob, parseWaves,
-} from './decode-stored-jobs.js';
+import {decodeStoredJobs} from './decode-stored-jobs.js';
 import {followPrefix} from './follow-prefix.js';
-import {
-	holdersKey, jobsPrefix, parseJobKey, wavesPrefix,
-} from './keys.js';
+import {holdersKey, jobsPrefix, wavesPrefix} from './keys.js';
 import {type OperatorWatch} from './operator-watch.js';
 import {type Mandate, type Ownership} from './ownership.js';
+import {parseHolders} from './parse-holders.js';
+import {parseJob} from './parse-job.js';
+import {parseJobKey} from './parse-job-key.js';
+import {parseWaves} from './parse-waves.js';
 import {performSchedulerEffect} from './perform-scheduler-effect.js';
 import {type Platform} from './ports.js';
 import {type ProcessSettings} from './process-settings.js';
@@ -181,7 +182,7 @@
 				return configuration;
 			}
 
-			await pause(loadRetryMs);
+			await delay(loadRetryMs);
 		}
 
 		return undefined;
@@ -207,7 +208,7 @@
 				};
 			}
 
-			await pause(loadRetryMs);
+			await delay(loadRetryMs);
 		}
 
 		return undefined;
@@ -294,9 +295,3 @@
 		}, {fromRevision});
 	}
 }
-
-async function pause(durationMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-}
--- /dev/null
+++ b/packages/daemon/src/jobs/parse-job.ts
@@ -0,0 +1,14 @@
+import {type Job, jobSchema} from '@rosemaryquay/core/jobs/job-schema';
+import {parseWith} from './parse-with.js';
+
+/**
+ * Parses a stored job.
+ *
+ * @param value - JSON text
+ * @returns the job; undefined for one that another program has written
+ * @example
+ * parseJob(entry.value);
+ */
+export function parseJob(value: string): Job | undefined {
+	return parseWith(jobSchema, value);
+}
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -4,8 +4,9 @@
 import {type Operation} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
 import {type LogEvent} from '../log-events.js';
+import {createJobKey} from './create-job-key.js';
 import {
-	createJobKey, holdersKey, journalKey, ownerKey, summaryKey, wavesPrefix,
+	holdersKey, journalKey, ownerKey, summaryKey, wavesPrefix,
 } from './keys.js';
 import {type Mandate} from './ownership.js';
 import {type Authority, type Platform} from './ports.js';
--- a/packages/daemon/src/jobs/readiness-server.ts
+++ b/packages/daemon/src/jobs/readiness-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import {listen} from './listen.js';
 
 /** Tells the balancer whether the process takes callers. */
 export class ReadinessServer {
@@ -15,13 +16,7 @@
 	}
 
 	async start(): Promise<void> {
-		const {host, port} = this.#address;
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, () => {
-				resolve();
-			});
-		});
+		await listen(this.#server, this.#address);
 	}
 
 	stop(): void {
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -12,6 +12,7 @@
 import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
 import {type Holder, type ListedWorker, type Scheduler} from '@rosemaryquay/core/jobs/scheduler';
 import {Checker} from './checker.js';
+import {InstanceModel} from './instance-model.js';
 import {type Behaviour, WorkerModel} from './worker-model.js';
 
 /** Way of one message, drawn between these bounds in milliseconds. */
@@ -52,12 +53,8 @@
 	readonly checker: Checker;
 	readonly stored = new Map<string, StoredJob>();
 	readonly workers = new Map<string, WorkerModel>();
-	readonly instances = new Map<string, ListedInstance>();
 	readonly log: Array<{at: number; event: string; fields: Readonly<Record<string, unknown>>}> = [];
 	readonly waveStates = new Map<number, 'running' | 'completed'>();
-	moves = 0;
-	/** Largest number of instances that were down for upkeep at the same time. */
-	mostDown = 0;
 	/** Workers that answer nothing, and are not reached. */
 	readonly silent = new Set<string>();
 	/** Parts in a thousand of orders whose answer is lost, and of orders that are carried out late without an answer. */
@@ -67,7 +64,7 @@
 	owner: ModelOwner | undefined;
 	#configuration: Configuration;
 	readonly #waves: RequestedWave[] = [];
-	readonly #rebooted = new Set<string>();
+	readonly #instances: InstanceModel;
 	#holders: readonly Holder[] = [];
 	readonly #doneInstances = new Map<number, readonly string[]>();
 	#fence = 0;
@@ -145,7 +142,7 @@
 		upkeep: ({instance, wave}, owner) => {
 			const isLost = this.draw(1, partsPerThousand) <= this.lostAnswers;
 			this.#deliver(() => {
-				const outcome = this.#answerUpkeep(instance);
+				const outcome = this.#instances.answerUpkeep(instance);
 				if (!isLost) {
 					this.dispatch({
 						type: 'upkeep-answered', wave, instance, outcome,
@@ -162,7 +159,7 @@
 		},
 		move: ({instance, pool}, owner) => {
 			this.#deliver(() => {
-				this.moveInstance(instance, pool);
+				this.#instances.move(instance, pool);
 				this.dispatch({
 					type: 'move-answered', instance, pool, outcome: 'accepted',
 				}, owner);
@@ -182,13 +179,24 @@
 		this.#configuration = configuration;
 		this.#behave = behave;
 		this.checker = new Checker({configuration, workers});
+		this.#instances = new InstanceModel({instances, fleet: this, isSpare: pool => this.#configuration.pools.some(({name, spare}) => name === pool && spare)});
 		for (const listing of workers) {
 			this.addWorker(listing);
 		}
+	}
 
-		for (const instance of instances) {
-			this.instances.set(instance.id, instance);
-		}
+	get instances(): ReadonlyMap<string, ListedInstance> {
+		return this.#instances.listed;
+	}
+
+	/** Number of moves so far. */
+	get moves(): number {
+		return this.#instances.moves;
+	}
+
+	/** Largest number of instances that were down for upkeep at the same time. */
+	get mostDown(): number {
+		return this.#instances.mostDown;
 	}
 
 	addWorker(listing: ListedWorker): void {
@@ -272,33 +280,9 @@
 		this.#tick(this.owner);
 	}
 
-	/** Takes an instance to another pool; a worker of that pool runs there afterwards, none in a spare pool. */
+	/** A move that a former owner ordered. */
 	moveInstance(id: string, pool: string): void {
-		const instance = this.instances.get(id);
-		if (instance?.state !== 'up' || instance.pool === pool) {
-			return;
-		}
-
-		this.moves++;
-		this.instances.set(id, {
-			...instance, pool, state: 'moving', worker: '',
-		});
-		if (this.workers.has(instance.worker)) {
-			this.removeWorker(instance.worker);
-		}
-
-		this.at(this.now + 1500, () => {
-			const isSpare = this.#configuration.pools.some(({name, spare}) => name === pool && spare);
-			const worker = isSpare ? '' : `${id}-${this.moves}`;
-			this.instances.set(id, {
-				...instance, pool, state: 'up', worker,
-			});
-			if (!isSpare) {
-				this.addWorker({
-					id: worker, address: `${id}:80`, service: pool, availabilityZone: instance.availabilityZone, rack: 'r', labels: ['r'], capacity: instance.capacity, leaving: false, instance: id, bornMs: this.now,
-				});
-			}
-		});
+		this.#instances.move(id, pool);
 	}
 
 	/** Ends the owner at once. */
@@ -456,44 +440,6 @@
 		}
 	}
 
-	/** An instance that is not up is busy, also when an order before has taken it down; one that is done stays as it is. */
-	#answerUpkeep(id: string): 'accepted' | 'busy' {
-		if (this.#rebooted.has(id) && this.instances.get(id)?.state === 'up') {
-			return 'accepted';
-		}
-
-		if (this.instances.get(id)?.state !== 'up') {
-			return 'busy';
-		}
-
-		this.#reboot(id);
-		return 'accepted';
-	}
-
-	/** Takes an instance down for two seconds; a new worker runs on it afterwards. */
-	#reboot(id: string): void {
-		const instance = this.instances.get(id);
-		if (instance?.state !== 'up') {
-			return;
-		}
-
-		this.#rebooted.add(id);
-		const listing = this.workers.get(instance.worker)?.listing;
-		this.instances.set(id, {...instance, state: 'upkeep', worker: ''});
-		this.mostDown = Math.max(this.mostDown, [...this.instances.values()].filter(({state}) => state === 'upkeep').length);
-		if (listing !== undefined) {
-			this.removeWorker(listing.id);
-		}
-
-		this.at(this.now + 2000, () => {
-			const worker = listing === undefined ? '' : `${listing.id}'`;
-			this.instances.set(id, {...instance, state: 'up', worker});
-			if (listing !== undefined) {
-				this.addWorker({...listing, id: worker, bornMs: this.now});
-			}
-		});
-	}
-
 	#behaviour(task: string, job: Job): Behaviour {
 		const definition = job.steps[Number(task.split('.')[2])];
 		return {
