Read the settings file again on SIGHUP and when it changes

Cause: a signal was logged and nothing was read; a change of the file without a signal was not noticed at all. Change: on either the file is read and checked; bounds are in force for callers at once and for the schedule from the next ownership; a change of names or addresses is named in the log as needing a new start; a broken or missing file is logged and changes nothing. Tests for both; event 607 has the trigger and the changed fields. What binds: an owner in office keeps the bounds that it began with.

--- a/packages/daemon/src/jobs/entry-server.ts
+++ b/packages/daemon/src/jobs/entry-server.ts
@@ -64,11 +64,13 @@
 export class EntryServer {
 	readonly #options: Options;
 	readonly #server: Server;
+	#bounds: ProcessSettings['bounds'];
 	#openCalls = 0;
 	#isStopping = false;
 
 	constructor(options: Options) {
 		this.#options = options;
+		this.#bounds = options.settings.bounds;
 		this.#server = createServer({keepAliveTimeout: keepAliveMs}, (request, response) => {
 			void this.#serve(request, response);
 		});
@@ -83,6 +85,11 @@
 		return findPort(this.#server);
 	}
 
+	/** Uses other bounds for calls that arrive from now on. */
+	adopt(bounds: ProcessSettings['bounds']): void {
+		this.#bounds = bounds;
+	}
+
 	/** Asks callers to leave: every further answer closes its connection. */
 	beginShutdown(): void {
 		this.#isStopping = true;
@@ -138,7 +145,7 @@
 	}
 
 	async #answer(request: IncomingMessage): Promise<Answer> {
-		const {operators, platform, settings} = this.#options;
+		const {operators, platform} = this.#options;
 		const arrivedAt = performance.now();
 		const {configuration} = operators.state;
 		if (configuration === undefined) {
@@ -148,7 +155,7 @@
 		const path = (request.url ?? '/').split('?')[0] ?? '/';
 		const host = (request.headers.host ?? '').split(':')[0] ?? '';
 		const queue = findQueue(configuration, {host, path});
-		const isRefusalSure = operators.ageMs < settings.bounds.configurationMs * usableRefusalPart;
+		const isRefusalSure = operators.ageMs < this.#bounds.configurationMs * usableRefusalPart;
 		if (queue === undefined) {
 			return isRefusalSure ? {status: 404, reason: 'no-such-queue'} : unavailable('configuration-not-confirmed');
 		}
@@ -176,13 +183,13 @@
 	}
 
 	async #dispatch(call: Call): Promise<Answer> {
-		const {platform, operators, settings} = this.#options;
+		const {platform, operators} = this.#options;
 		const {request, id, queue} = call;
 		if (request.method === 'POST' && platform.callers.isJobId(id)) {
 			return this.#submit(call);
 		}
 
-		if (!queue.openToAll && operators.ageMs > settings.bounds.keyWithdrawalMs * usableKeyPart) {
+		if (!queue.openToAll && operators.ageMs > this.#bounds.keyWithdrawalMs * usableKeyPart) {
 			return unavailable('key-not-confirmed');
 		}
 
--- a/packages/daemon/src/jobs/fleet-process.ts
+++ b/packages/daemon/src/jobs/fleet-process.ts
@@ -2,6 +2,7 @@
 import {type Logger} from '../create-logger.js';
 import {EntryServer} from './entry-server.js';
 import {JobStore} from './job-store.js';
+import {listChanges} from './list-changes.js';
 import {MetricsServer} from './metrics-server.js';
 import {OperatorWatch} from './operator-watch.js';
 import {Owner} from './owner.js';
@@ -22,7 +23,7 @@
 
 /** One process on an entry instance: serves callers, and owns the schedule when it is its turn. */
 export class FleetProcess {
-	readonly #settings: ProcessSettings;
+	#settings: ProcessSettings;
 	readonly #platform: Platform;
 	readonly #logger: Logger;
 	readonly #operators: OperatorWatch;
@@ -89,6 +90,20 @@
 		this.#ownership.start();
 	}
 
+	/**
+	 * Takes over changed settings. Bounds are in force for callers at once and for the schedule from the next ownership;
+	 * names and addresses stay as they were until the process starts again.
+	 *
+	 * @param settings - the settings as they are now
+	 * @returns the fields that changed, and those of them that need a new start
+	 */
+	adopt(settings: ProcessSettings): {changed: string[]; needRestart: string[]} {
+		const changed = listChanges(this.#settings, settings);
+		this.#settings = {...this.#settings, bounds: settings.bounds};
+		this.#entry.adopt(settings.bounds);
+		return {changed, needRestart: changed.filter(field => field !== 'bounds')};
+	}
+
 	/** Hands the schedule over, lets callers leave, and answers what is open. */
 	async shutDown(): Promise<void> {
 		if (this.#isStopping) {
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -139,8 +139,8 @@
 	'store-regained': {
 		number: 606, level: 'info', text: 'The store answers again', action: 'None.',
 	},
-	'settings-reload-requested': {
-		number: 607, level: 'info', text: 'The settings may have changed', action: 'None.',
+	'settings-reloaded': {
+		number: 607, level: 'info', text: 'The settings file was read again', action: 'Restart the process when needRestart names fields.',
 	},
 	'job-accepted': {
 		number: 610, level: 'info', text: 'A job is stored', action: 'None.',
