--- /dev/null
+++ b/packages/testing/src/jobs/stored-schedule.ts
@@ -0,0 +1,38 @@
+import {type Write} from '@rosemaryquay/core/jobs/effect';
+import {type Job, type JobEnd, type Progress} from '@rosemaryquay/core/jobs/job-schema';
+import {type Holder} from '@rosemaryquay/core/jobs/scheduler';
+
+export type StoredJob = {readonly job: Job; progress?: Progress; end?: JobEnd; isCancelled: boolean};
+
+/** What the store of the model holds for the next owner. */
+export class StoredSchedule {
+	readonly jobs = new Map<string, StoredJob>();
+	readonly doneInstances = new Map<number, readonly string[]>();
+	holders: readonly Holder[] = [];
+
+	readonly #handlers: {[Type in Write['type']]: (write: Extract<Write, {type: Type}>) => void} = {
+		holders: ({holders}) => {
+			this.holders = holders;
+		},
+		wave: ({wave, done}) => {
+			this.doneInstances.set(wave, done);
+		},
+		progress: ({job, progress}) => {
+			const stored = this.jobs.get(job);
+			if (stored !== undefined) {
+				stored.progress = structuredClone(progress);
+			}
+		},
+		end: ({job, end}) => {
+			const stored = this.jobs.get(job);
+			if (stored !== undefined) {
+				stored.end = end;
+			}
+		},
+	};
+
+	write(write: Write): void {
+		const handler = this.#handlers[write.type] as (write: Write) => void;
+		handler(write);
+	}
+}
