Keep workers in the record of holders while the store does not list them

Change: every worker that has answered stays in the record until it is given up; a worker that has ended is no longer recorded, and each report of an unrecorded worker asks for a new record. The test in takeover.test.ts fails without the change: two runs at the same time.

--- a/packages/core/src/jobs/end-life.ts
+++ b/packages/core/src/jobs/end-life.ts
@@ -15,6 +15,7 @@
 	loseMembers(pass, worker, reason);
 	pass.scheduler.endedLives.set(worker.id, Math.max(worker.bornMs, worker.listing?.bornMs ?? 0));
 	worker.listing = undefined;
+	worker.recorded = false;
 	worker.unresolvedUntil = 0;
 	worker.leaseUntilMs = 0;
 }
--- a/packages/core/src/jobs/record-report.ts
+++ b/packages/core/src/jobs/record-report.ts
@@ -67,8 +67,9 @@
 		worker.confirmed = true;
 		// A former owner may have given a lease of this length just before.
 		worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.ceil(report.clockMs + pass.scheduler.leaseMs));
-		pass.scheduler.holdersDirty ||= !worker.recorded;
 	}
+
+	pass.scheduler.holdersDirty ||= !worker.recorded;
 }
 
 function recordRunning(pass: Pass, worker: Worker, running: RunningTask): void {
--- a/packages/core/src/jobs/write-progress.ts
+++ b/packages/core/src/jobs/write-progress.ts
@@ -53,8 +53,9 @@
 	pass.effects.push({type: 'commit', number: scheduler.commitNumber, writes});
 }
 
+/** All workers that have answered, also ones that the store does not list at the moment: once it does, they get tasks. */
 function listHolders(workers: Iterable<Worker>): Worker[] {
-	return [...workers].filter(({confirmed, members, listing, unresolvedUntil}) => (confirmed && (listing !== undefined || members.size > 0)) || unresolvedUntil > 0);
+	return [...workers].filter(({confirmed, unresolvedUntil}) => confirmed || unresolvedUntil > 0);
 }
 
 function describeJob(job: ActiveJob, timeOfDay: number): Write {
--- a/packages/testing/src/jobs/takeover.test.ts
+++ b/packages/testing/src/jobs/takeover.test.ts
@@ -179,4 +179,36 @@
 		assert.deepEqual(fleet.checker.violations, []);
 		assert.deepEqual(fleet.unfinished, []);
 	});
+
+	it('guards against forgetting a worker that the store did not list during a takeover', () => {
+		const [additional, ...workers] = createWorkers(3).toReversed();
+		assert.ok(additional);
+		for (let seed = 1; seed <= 10; seed++) {
+			const fleet = new FleetModel({seed, configuration: createConfiguration(), workers});
+			fleet.takeOver();
+			fleet.submit(createJob('first', {steps: [{count: 8, cpuMillis: 4000, estimatedMs: 200}]}));
+			fleet.at(1000, () => {
+				fleet.killOwner();
+				fleet.takeOver();
+				fleet.dispatch({type: 'worker-unlisted', id: 'w1'});
+			});
+			// A new worker makes the owner record its workers again while the other one is not listed.
+			fleet.at(1100, () => {
+				fleet.addWorker(additional);
+			});
+			fleet.at(3000, () => {
+				fleet.submit(createJob('second', {steps: [{count: 8, cpuMillis: 4000, estimatedMs: 2500}]}));
+			});
+			fleet.at(4000, () => {
+				fleet.killOwner();
+				fleet.silent.add('w1');
+			});
+			fleet.at(4200, () => {
+				fleet.takeOver();
+			});
+			fleet.run(20_000);
+			assert.deepEqual(fleet.checker.violations, [], `seed ${seed}`);
+			assert.deepEqual(fleet.unfinished, [], `seed ${seed}`);
+		}
+	});
 });
