Write progress on time while tasks of an ended job are being stopped

A job that had ended while tasks of it were still being stopped put off the next write of all progress by 250 ms, again and again. The new test fails without it: the end of a short job is stored 205 ms late beside failing jobs.

--- a/packages/core/src/jobs/create-scheduler.ts
+++ b/packages/core/src/jobs/create-scheduler.ts
@@ -39,6 +39,7 @@
 		workers: new Map(),
 		endedLives: new Map(),
 		jobs: new Map(),
+		endingJobs: new Set(),
 		endedJobs: new Map(),
 		members: new Map(),
 		usedByOrganisation: new Map(),
--- a/packages/core/src/jobs/finish-commit.ts
+++ b/packages/core/src/jobs/finish-commit.ts
@@ -1,6 +1,6 @@
 import {commitRetryMs} from './constants.js';
+import {forgetJob} from './forget-job.js';
 import {type Pass} from './pass.js';
-import {type ActiveJob} from './scheduler.js';
 
 /**
  * Takes in the outcome of a write of progress. After a success workers may forget the ends, ended jobs leave the memory
@@ -50,23 +50,3 @@
 		}
 	}
 }
-
-/** Tasks that still run are stopped first; a report that shows one of a forgotten job stops it as well. */
-function forgetJob(pass: Pass, job: ActiveJob): void {
-	const {scheduler} = pass;
-	const units = [...job.occurrences.values()].flat().flatMap(step => step.units);
-	if (units.some(({members}) => members.some(({state}) => state !== 'idle'))) {
-		scheduler.dirty.add(job);
-		scheduler.commitDueAt = pass.now + commitRetryMs;
-		return;
-	}
-
-	for (const {members} of units) {
-		for (const {task} of members) {
-			scheduler.members.delete(task);
-		}
-	}
-
-	scheduler.jobs.delete(job.job.id);
-	scheduler.endedJobs.set(job.job.id, pass.now);
-}
--- a/packages/core/src/jobs/reduce-scheduler.ts
+++ b/packages/core/src/jobs/reduce-scheduler.ts
@@ -9,6 +9,7 @@
 import {type Moment, type SchedulerEvent} from './event.js';
 import {finishCommit} from './finish-commit.js';
 import {endLife} from './end-life.js';
+import {forgetJob} from './forget-job.js';
 import {openOccurrences} from './open-occurrences.js';
 import {type Pass} from './pass.js';
 import {placeReady} from './place-ready.js';
@@ -173,6 +174,10 @@
 		}
 	}
 
+	for (const job of scheduler.endingJobs) {
+		forgetJob(pass, job);
+	}
+
 	for (const [id, endedAt] of scheduler.endedJobs) {
 		if (now - endedAt > endedMemoryMs) {
 			scheduler.endedJobs.delete(id);
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -192,6 +192,8 @@
 	/** Lives of workers that have certainly ended, by id; the store may still list them for a while. */
 	readonly endedLives: Map<string, number>;
 	readonly jobs: Map<string, ActiveJob>;
+	/** Jobs whose end is stored while tasks of them are still being stopped. */
+	readonly endingJobs: Set<ActiveJob>;
 	/** Jobs that have left the memory, by the local time of their end; an older reading of the store may still show them. */
 	readonly endedJobs: Map<string, number>;
 	readonly members: Map<string, Member>;
--- a/packages/testing/src/jobs/checker.ts
+++ b/packages/testing/src/jobs/checker.ts
@@ -116,6 +116,23 @@
 		}
 	}
 
+	/** What an owner has seen only just before its end has not been noted: it had no time to act on it. */
+	ownerEnded(at: number): void {
+		for (const [task, shownAt] of this.#shownDone) {
+			if (at - shownAt < noticeMs) {
+				this.#shownDone.delete(task);
+			}
+		}
+
+		for (const failures of this.#shownFailures.values()) {
+			for (const [run, shownAt] of failures) {
+				if (at - shownAt < noticeMs) {
+					failures.delete(run);
+				}
+			}
+		}
+	}
+
 	confirmed({task, run, end}: EndedTask, at: number): void {
 		if (end !== 'done') {
 			return;
