Keep a worker that its spare pool still lists

Cause: read-through. A worker on an instance of a spare pool counted as ended even if the list still named it there, as it might when operators turn a pool with work into a spare one. Change: in a spare pool it has ended when the list names no worker.

--- a/packages/core/src/jobs/record-instances.ts
+++ b/packages/core/src/jobs/record-instances.ts
@@ -6,8 +6,9 @@
 import {type Worker} from './scheduler.js';
 
 /**
- * Takes in the list of instances. A worker that has not answered since has ended when its instance is listed without it. An upkeep is over when a list that was read after its acceptance shows the instance up,
- * or when the instance has left the list.
+ * Takes in the list of instances. A worker that has not answered since has ended when its instance is listed without
+ * it. An upkeep is over when a list that was read after its acceptance shows the instance up, or when the instance has
+ * left the list.
  *
  * @param pass - the pass; its state is changed
  * @param answer - the whole list, and the local time at which it was asked for
@@ -50,10 +51,12 @@
 		return false;
 	}
 
-	return instance.state === 'moving'
-		|| instance.state === 'upkeep'
-		|| sparePools.has(instance.pool)
-		|| (instance.state === 'up' && instance.worker !== '' && instance.worker !== id);
+	const {state, pool, worker} = instance;
+	if (state === 'moving' || state === 'upkeep') {
+		return true;
+	}
+
+	return worker === '' ? sparePools.has(pool) : state === 'up' && worker !== id;
 }
 
 function recordState(pass: Pass, wave: Wave, options: {upkeep: Upkeep; askedAt: number}): void {
