Leave time for the last attempt before a caller's deadline

Change: no attempt begins within 200 ms of the deadline. The new test fails without it (answered after a deadline of 610 ms).

--- /dev/null
+++ b/packages/daemon/src/jobs/job-store.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
+import {describe, it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Store} from '@rosemaryquay/core/store/store';
+import {createJob} from '@rosemaryquay/testing/jobs/create-fleet';
+import {JobStore} from './job-store.js';
+
+/** Time in which the store of the test refuses a call. */
+const refusalMs = 20;
+
+describe('acceptance of a job by a store that refuses', () => {
+	it('guards against an attempt that begins just before the deadline and leaves the outcome unknown', async () => {
+		const store = {
+			async transact() {
+				await delay(refusalMs);
+				return {ok: false, reason: 'unavailable'};
+			},
+		} as unknown as Store;
+		const deadlines = Array.from({length: 14}, (_, position) => 600 + (position * 10));
+		await Promise.all(deadlines.map(async deadlineMs => {
+			const deadlineAt = performance.now() + deadlineMs;
+			const accepted = await new JobStore({store}).accept(createJob('a'), {condition: {key: 'configuration', modRevision: 1}, deadlineAt});
+			assert.equal(accepted.type, 'unavailable');
+			assert.ok(performance.now() < deadlineAt, `answered after a deadline of ${deadlineMs} ms`);
+		}));
+	});
+});
--- a/packages/daemon/src/jobs/job-store.ts
+++ b/packages/daemon/src/jobs/job-store.ts
@@ -15,6 +15,9 @@
 /** Pause before a call that the store did not answer is repeated. */
 const retryPauseMs = 100;
 
+/** Time that the last attempt before a caller's deadline is given; the store answers in milliseconds when it is well. */
+const lastAttemptMs = 200;
+
 /** Pause between two probes of a store that is away; the first answer ends the refusals. */
 const probeIntervalMs = 250;
 
@@ -84,7 +87,7 @@
 
 			isUnknown ||= outcome.reason !== 'unavailable';
 			const detail = outcome.detail ?? outcome.reason;
-			if (performance.now() + retryPauseMs > deadlineAt) {
+			if (performance.now() + retryPauseMs + lastAttemptMs > deadlineAt) {
 				return {type: isUnknown ? 'unknown' : 'unavailable', detail};
 			}
 
