--- a/packages/cli/src/fleet/commands/jobs.ts
+++ b/packages/cli/src/fleet/commands/jobs.ts
@@ -1,6 +1,8 @@
 import {Option} from 'clipanion';
+import {type EndedJob} from '@rosemaryquay/core/jobs/job-schema';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
-import {describeWait, type JobRecord} from '../describe-wait.js';
+import {type UnfinishedJob} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
+import {describeWait} from '../describe-wait.js';
 import {formatSection} from '../format-section.js';
 import {exitCodes, type CommandOutput, PlatformCommand} from '../platform-command.js';
 import {readScheduleState, type ReadResult} from '../read-schedule-state.js';
@@ -34,7 +36,7 @@
 	}
 }
 
-function createJobRow({job, progress, cancelled}: JobRecord, utcMs: number) {
+function createJobRow({job, progress, cancelled}: UnfinishedJob, utcMs: number) {
 	// A job without repetition (repeatCount 0) has one occurrence.
 	const tasks = job.steps.reduce((sum, {count}) => sum + count, 0) * Math.max(1, job.repeatCount);
 	const done = Object.values(progress?.done ?? {}).reduce((sum, positions) => sum + positions.length, 0);
@@ -43,6 +45,12 @@
 	};
 }
 
+function createEndedJobRow({id, queue, organisation, state, endedAtMs}: EndedJob & {readonly id: string}) {
+	return {
+		job: id, queue, organisation, state, endedAt: new Date(endedAtMs).toISOString(),
+	};
+}
+
 /** `rosemaryquay-fleet job ID`: shows a job and what it waits for. */
 export class JobCommand extends PlatformCommand {
 	static override paths = [['job']];
@@ -67,7 +75,7 @@
 		}
 
 		const utcMs = Date.now();
-		const row = createJobRow(record.value, utcMs);
+		const row = 'state' in record.value ? createEndedJobRow(record.value) : createJobRow(record.value, utcMs);
 		const reasons = describeWait(record.value, {configuration, utcMs});
 		return {ok: true, value: {value: {...row, reasons}, lines: [...formatSection('Job', [row]).slice(1), ...reasons]}};
 	}
--- a/packages/cli/src/fleet/describe-wait.test.ts
+++ b/packages/cli/src/fleet/describe-wait.test.ts
@@ -14,10 +14,10 @@
 	maximumBodyBytes: 1,
 });
 const job = jobSchema.parse({
-	id: 'a', queue: 'plans', service: 'planner', organisation: 'north', acceptedAtMs: 0, payload: '', steps: [{count: 3}, {count: 1, after: [0]}],
+	id: 'a', queue: 'plans', service: 'planner', organisation: 'north', acceptedAtMs: 0, steps: [{count: 3}, {count: 1, after: [0]}],
 });
 const record = {
-	job, progress: undefined, cancelled: false, endState: undefined,
+	job, progress: undefined, cancelled: false,
 };
 const options = {configuration, utcMs: 10_000};
 
@@ -37,6 +37,8 @@
 	it('names a queue that is no longer configured, a cancellation and the state of an ended job', () => {
 		assert.match(describeWait({...record, job: {...job, queue: 'gone'}}, options)[0] ?? '', /Queue gone is not in the configuration/);
 		assert.match(describeWait({...record, cancelled: true}, options)[0] ?? '', /cancelled/);
-		assert.deepEqual(describeWait({...record, endState: 'failed'}, options), ['It has ended as failed.']);
+		assert.deepEqual(describeWait({
+			id: 'a', queue: 'plans', organisation: 'north', state: 'failed', endedAtMs: 0,
+		}, options), ['It has ended as failed.']);
 	});
 });
--- a/packages/cli/src/fleet/describe-wait.ts
+++ b/packages/cli/src/fleet/describe-wait.ts
@@ -1,14 +1,9 @@
 import {type Configuration} from '@rosemaryquay/core/jobs/configuration-schema';
-import {type Job, type Progress} from '@rosemaryquay/core/jobs/job-schema';
+import {type EndedJob} from '@rosemaryquay/core/jobs/job-schema';
+import {type UnfinishedJob} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
 
-/** A job as read from the store. */
-export type JobRecord = {
-	readonly job: Job;
-	readonly progress: Progress | undefined;
-	readonly cancelled: boolean;
-	/** State in which the job ended, `unknown` when its record cannot be parsed; undefined until the job ends. */
-	readonly endState: string | undefined;
-};
+/** A job as read from the store. Of an ended job, the store keeps only its end. */
+export type JobRecord = UnfinishedJob | (EndedJob & {readonly id: string});
 
 /**
  * Explains what a job waits for, from its record in the store. Which tasks run is not stored; the log of the owner of the
@@ -21,12 +16,12 @@
  * describeWait(record, {configuration, utcMs: Date.now()});
  */
 export function describeWait(record: JobRecord, options: {configuration: Configuration; utcMs: number}): string[] {
-	const {job, cancelled, endState} = record;
 	const {configuration, utcMs} = options;
-	if (endState !== undefined) {
-		return [`It has ended as ${endState}.`];
+	if ('state' in record) {
+		return [`It has ended as ${record.state}.`];
 	}
 
+	const {job, cancelled} = record;
 	if (cancelled) {
 		return ['It is cancelled; the last of its tasks are being stopped.'];
 	}
@@ -45,7 +40,7 @@
 	return [...reasons, ...describeSteps(record)];
 }
 
-function describeSteps({job, progress}: JobRecord): string[] {
+function describeSteps({job, progress}: UnfinishedJob): string[] {
 	const lines: string[] = [];
 	// A job without repetition (repeatCount 0) has one occurrence.
 	for (let occurrence = 0; occurrence < Math.max(1, job.repeatCount); occurrence++) {
--- a/packages/cli/src/fleet/read-job.ts
+++ b/packages/cli/src/fleet/read-job.ts
@@ -1,9 +1,7 @@
-import {jobEndSchema} from '@rosemaryquay/core/jobs/job-schema';
+import {createEndedJobKey} from '@rosemaryquay/daemon/jobs/create-ended-job-key';
 import {createJobPrefix} from '@rosemaryquay/daemon/jobs/create-job-prefix';
 import {decodeUnfinishedJobs} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
-import {parseJob} from '@rosemaryquay/daemon/jobs/parse-job';
-import {parseJobKey} from '@rosemaryquay/daemon/jobs/parse-job-key';
-import {parseStoredValue} from '@rosemaryquay/daemon/jobs/parse-stored-value';
+import {parseEndedJob} from '@rosemaryquay/daemon/jobs/parse-ended-job';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
 import {type JobRecord} from './describe-wait.js';
 import {type ReadResult} from './read-schedule-state.js';
@@ -23,22 +21,18 @@
 		return {ok: false, detail: listing.detail ?? listing.reason};
 	}
 
-	const {entries} = listing.value;
-	const [unfinishedJob] = decodeUnfinishedJobs(entries);
+	const [unfinishedJob] = decodeUnfinishedJobs(listing.value.entries);
 	if (unfinishedJob !== undefined) {
-		return {ok: true, value: {...unfinishedJob, endState: undefined}};
+		return {ok: true, value: unfinishedJob};
 	}
 
-	// The job has ended, cannot be parsed or does not exist. Progress is not shown once a job has ended.
-	const valueByPart = new Map(entries.map(({key, value}) => [parseJobKey(key)?.part, value]));
-	const job = parseJob(valueByPart.get('accepted') ?? 'null');
-	const end = parseStoredValue(jobEndSchema, valueByPart.get('end') ?? '');
-	return {
-		ok: true,
-		value: job === undefined
-			? undefined
-			: {
-				job, progress: undefined, cancelled: valueByPart.has('cancelled'), endState: end?.state ?? 'unknown',
-			},
-	};
+	const key = createEndedJobKey(id);
+	const endedListing = await platform.store.list(key);
+	if (!endedListing.ok) {
+		return {ok: false, detail: endedListing.detail ?? endedListing.reason};
+	}
+
+	const entry = endedListing.value.entries.find(candidate => candidate.key === key);
+	const ended = entry === undefined ? undefined : parseEndedJob(entry.value);
+	return {ok: true, value: ended === undefined ? undefined : {id, ...ended}};
 }
--- a/packages/cli/src/fleet/read-unfinished-jobs.ts
+++ b/packages/cli/src/fleet/read-unfinished-jobs.ts
@@ -1,7 +1,6 @@
-import {decodeUnfinishedJobs} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
+import {decodeUnfinishedJobs, type UnfinishedJob} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
 import {jobsPrefix} from '@rosemaryquay/daemon/jobs/keys';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
-import {type JobRecord} from './describe-wait.js';
 import {type ReadResult} from './read-schedule-state.js';
 
 /**
@@ -12,9 +11,9 @@
  * @example
  * const jobs = await readUnfinishedJobs(platform);
  */
-export async function readUnfinishedJobs(platform: Platform): Promise<ReadResult<readonly JobRecord[]>> {
+export async function readUnfinishedJobs(platform: Platform): Promise<ReadResult<readonly UnfinishedJob[]>> {
 	const listing = await platform.store.list(jobsPrefix);
 	return listing.ok
-		? {ok: true, value: decodeUnfinishedJobs(listing.value.entries).map(job => ({...job, endState: undefined}))}
+		? {ok: true, value: decodeUnfinishedJobs(listing.value.entries)}
 		: {ok: false, detail: listing.detail ?? listing.reason};
 }
--- a/packages/core/src/jobs/effect.ts
+++ b/packages/core/src/jobs/effect.ts
@@ -1,10 +1,10 @@
-import {type Job, type JobEnd, type Progress} from './job-schema.js';
+import {type EndedJob, type Progress} from './job-schema.js';
 import {type LeaseHolder} from './scheduler.js';
 
 /** A change to what is stored of the schedule. */
 export type StoreWrite =
 	| {readonly type: 'progress'; readonly job: string; readonly progress: Progress}
-	| {readonly type: 'end'; readonly job: string; readonly end: JobEnd}
+	| {readonly type: 'end'; readonly job: string; readonly end: EndedJob}
 	| {readonly type: 'holders'; readonly holders: readonly LeaseHolder[]}
 	| {readonly type: 'wave'; readonly wave: number; readonly done: readonly string[]};
 
@@ -12,7 +12,7 @@
 export type QueueSummary = {readonly waiting: number};
 
 export type SchedulerEffect =
-	| {readonly type: 'start'; readonly worker: string; readonly address: string; readonly job: Job; readonly task: string; readonly run: number; readonly leaseUntilMs: number; readonly checkpoint: string; readonly ticket: string}
+	| {readonly type: 'start'; readonly worker: string; readonly address: string; readonly job: string; readonly task: string; readonly run: number; readonly leaseUntilMs: number; readonly checkpoint: string; readonly ticket: string}
 	| {readonly type: 'stop'; readonly worker: string; readonly address: string; readonly task: string; readonly run: number}
 	| {readonly type: 'report'; readonly worker: string; readonly address: string; readonly leaseUntilMs: number | undefined; readonly storedEnd: number; readonly waitMs: number}
 	| {readonly type: 'limit-speed'; readonly worker: string; readonly address: string; readonly task: string; readonly run: number; readonly percent: number}
--- a/packages/core/src/jobs/event.ts
+++ b/packages/core/src/jobs/event.ts
@@ -48,9 +48,11 @@
  * `unhealthy`: the worker takes no orders at the moment; counts as a failure of the worker.
  * `other-worker`: another worker has the address.
  * `invalid`: the worker considers the order malformed.
+ * `withheld`: this process did not send the order.
+ * `unreachable`: the worker could not be connected to; the order was definitely not sent.
  * `unanswered`: the order may have been carried out, or may still be.
  */
-export type OrderOutcome = 'accepted' | 'fenced' | 'superseded' | 'late' | 'full' | 'ticket' | 'unhealthy' | 'other-worker' | 'invalid' | 'unanswered';
+export type OrderOutcome = 'accepted' | 'fenced' | 'superseded' | 'late' | 'full' | 'ticket' | 'unhealthy' | 'other-worker' | 'invalid' | 'withheld' | 'unreachable' | 'unanswered';
 
 export type OrderAnswer = {readonly outcome: OrderOutcome; readonly clockMs?: number | undefined; readonly startedAtMs?: number | undefined};
 
--- a/packages/core/src/jobs/handle-start-answer.ts
+++ b/packages/core/src/jobs/handle-start-answer.ts
@@ -1,4 +1,6 @@
-import {initialBackoffMs, failureThreshold, maximumStartOrders} from './constants.js';
+import {
+	initialBackoffMs, failureThreshold, maximumStartOrders, orderRetryMs,
+} from './constants.js';
 import {type OrderAnswer, type OrderOutcome} from './event.js';
 import {endIncarnation} from './end-incarnation.js';
 import {type ReducerContext} from './reducer-context.js';
@@ -54,6 +56,8 @@
 		worker.backoffUntil = context.now + initialBackoffMs;
 		handleRefusal(context, task);
 	},
+	withheld: handleUnsent,
+	unreachable: handleUnsent,
 	unanswered(context, task) {
 		if (task.startOrders < maximumStartOrders && !task.group.job.cancelled) {
 			sendStart(context, task);
@@ -64,6 +68,12 @@
 	},
 };
 
+/** Handles an order that this process did not send. The task waits a little, so that a failing connection does not keep the scheduler busy. */
+function handleUnsent(context: ReducerContext, task: Task): void {
+	task.group.earliestStartAt = context.now + orderRetryMs;
+	handleRefusal(context, task);
+}
+
 /** Handles an order that was not carried out. An earlier unanswered one may still be, so a repeated start is followed by a stop, after which the worker refuses the run. */
 function handleRefusal(context: ReducerContext, task: Task): void {
 	if (task.startOrders > 1) {
@@ -92,10 +102,10 @@
 	}
 
 	const task = context.scheduler.tasks.get(id);
-	if (outcome === 'unanswered') {
+	if (outcome === 'unanswered' || outcome === 'unreachable') {
 		// A later answer to another call shows that only this one was lost.
 		worker.unresponsive ||= task !== undefined && worker.lastResponseAt < task.lastOrderAt;
-	} else {
+	} else if (outcome !== 'withheld') {
 		worker.unresponsive = false;
 		worker.lastResponseAt = context.now;
 		worker.lastSeenAt = context.now;
--- a/packages/core/src/jobs/job-schema.ts
+++ b/packages/core/src/jobs/job-schema.ts
@@ -34,7 +34,7 @@
 	mayMiss: z.int().min(0).default(0),
 });
 
-/** An accepted job, as it is stored. */
+/** An accepted job. Its payload, an opaque text that is passed along with every start of a task, is kept apart. */
 export const jobSchema = z.object({
 	id: z.string().min(1),
 	queue: z.string(),
@@ -43,8 +43,6 @@
 	organisation: z.string(),
 	/** Time of acceptance in milliseconds since 1970. */
 	acceptedAtMs: z.number(),
-	/** Opaque text that is passed along with every start of a task. */
-	payload: z.string(),
 	steps: z.array(stepSchema).min(1),
 	/** Policy of the queue at acceptance; the configuration in force overrides it while the queue exists. */
 	priority: z.int().default(0),
@@ -70,7 +68,11 @@
 	endedAtMs: z.number(),
 });
 
+/** Record of an ended job, from which callers are answered. */
+export const endedJobSchema = jobEndSchema.extend({queue: z.string(), organisation: z.string()});
+
 export type Step = z.infer<typeof stepSchema>;
 export type Job = z.infer<typeof jobSchema>;
 export type Progress = z.infer<typeof progressSchema>;
 export type JobEnd = z.infer<typeof jobEndSchema>;
+export type EndedJob = z.infer<typeof endedJobSchema>;
--- a/packages/core/src/jobs/send-start.ts
+++ b/packages/core/src/jobs/send-start.ts
@@ -23,7 +23,7 @@
 		type: 'start',
 		worker: worker.id,
 		address: worker.address,
-		job: group.job.definition,
+		job: group.job.definition.id,
 		task: task.id,
 		run: task.run,
 		leaseUntilMs: extendLease(worker, context.now, context.scheduler.leaseMs),
--- a/packages/core/src/jobs/write-progress.ts
+++ b/packages/core/src/jobs/write-progress.ts
@@ -59,14 +59,14 @@
 }
 
 function createJobWrite(job: ActiveJob, timeOfDay: number): StoreWrite {
-	const {id} = job.definition;
+	const {id, queue, organisation} = job.definition;
 	if (job.end !== undefined) {
-		return {type: 'end', job: id, end: job.end};
+		return {type: 'end', job: id, end: {...job.end, queue, organisation}};
 	}
 
 	if (job.cancelled && ![...job.occurrences.values()].flat().some(({groups}) => groups.some(({tasks}) => tasks.some(({state}) => state !== 'unassigned')))) {
 		job.end = {state: 'cancelled', endedAtMs: timeOfDay};
-		return {type: 'end', job: id, end: job.end};
+		return {type: 'end', job: id, end: {...job.end, queue, organisation}};
 	}
 
 	return {type: 'progress', job: id, progress: createProgress(job)};
--- a/packages/daemon/src/jobs/create-job-key.ts
+++ b/packages/daemon/src/jobs/create-job-key.ts
@@ -2,13 +2,13 @@
 import {type JobPart} from './keys.js';
 
 /**
- * Builds the store key of one part of a job.
+ * Builds the store key of one part of an unfinished job.
  *
  * @param id - identifier of the job
  * @param part - part of the job
  * @returns the store key
  * @example
- * createJobKey('00000000000000a1', 'end');
+ * createJobKey('00000000000000a1', 'progress');
  */
 export function createJobKey(id: string, part: JobPart): string {
 	return `${createJobPrefix(id)}${part}`;
--- a/packages/daemon/src/jobs/decode-unfinished-jobs.ts
+++ b/packages/daemon/src/jobs/decode-unfinished-jobs.ts
@@ -5,7 +5,7 @@
 import {parseJobKey} from './parse-job-key.js';
 import {parseStoredValue} from './parse-stored-value.js';
 
-/** A stored job without a stored end; a cancelled job is included until its end is stored. */
+/** An unfinished job; a cancelled job is included until its end is stored. */
 export type UnfinishedJob = {
 	readonly job: Job;
 	readonly progress: Progress | undefined;
@@ -13,10 +13,10 @@
 };
 
 /**
- * Groups stored entries into jobs and leaves out the jobs that have ended, as well as those that cannot be parsed.
+ * Groups stored entries into unfinished jobs and leaves out those that cannot be parsed.
  *
  * @param entries - all entries below the prefix of jobs, or below that of one job
- * @returns the jobs that have not ended
+ * @returns the jobs
  * @example
  * decodeUnfinishedJobs(listing.entries);
  */
@@ -30,8 +30,8 @@
 	}
 
 	const jobs: UnfinishedJob[] = [];
-	for (const {accepted, cancelled, progress, end} of parts.values()) {
-		const job = accepted === undefined || end !== undefined ? undefined : parseJob(accepted);
+	for (const {accepted, cancelled, progress} of parts.values()) {
+		const job = accepted === undefined ? undefined : parseJob(accepted);
 		if (job !== undefined) {
 			jobs.push({job, progress: progress === undefined ? undefined : parseStoredValue(progressSchema, progress), cancelled: cancelled !== undefined});
 		}
--- a/packages/daemon/src/jobs/follow-prefix.ts
+++ b/packages/daemon/src/jobs/follow-prefix.ts
@@ -25,29 +25,31 @@
  * @param store - the store
  * @param prefix - the prefix
  * @param listener - receives listings and changes in order
- * @param options - `fromRevision`: revision of a listing that the caller has made itself; the first listing is skipped and the watch starts there
+ * @param options - `fromRevision`: revision of a listing that the caller has made itself; the first listing is skipped and the watch starts there. `listingPrefix`: longer prefix to which listings are restricted
  * @returns a function that stops the listing and watching
  * @example
  * const stop = followPrefix(store, 'workers/', {onListing(listing) {}, onChanges(changes) {}});
  */
-export function followPrefix(store: Store, prefix: string, listener: PrefixListener, options: {fromRevision?: number} = {}): () => void {
-	const {fromRevision} = options;
+export function followPrefix(store: Store, prefix: string, listener: PrefixListener, options: {fromRevision?: number; listingPrefix?: string} = {}): () => void {
+	const {fromRevision, listingPrefix = prefix} = options;
 	const state = {isStopped: false, stopWatch: () => undefined as void};
-	void follow(store, prefix, {listener, state, fromRevision});
+	void follow(store, prefix, {
+		listener, state, fromRevision, listingPrefix,
+	});
 	return () => {
 		state.isStopped = true;
 		state.stopWatch();
 	};
 }
 
-async function follow(store: Store, prefix: string, options: {listener: PrefixListener; state: {isStopped: boolean; stopWatch: () => void}; fromRevision: number | undefined}): Promise<void> {
-	const {listener, state} = options;
+async function follow(store: Store, prefix: string, options: {listener: PrefixListener; state: {isStopped: boolean; stopWatch: () => void}; fromRevision: number | undefined; listingPrefix: string}): Promise<void> {
+	const {listener, state, listingPrefix} = options;
 	let backoffMs = initialBackoffMs;
 	let revision = options.fromRevision;
 	while (!state.isStopped) {
 		const requestedAt = performance.now();
 		if (revision === undefined) {
-			const listing = await store.list(prefix);
+			const listing = await store.list(listingPrefix);
 			if (state.isStopped) {
 				return;
 			}
--- a/packages/daemon/src/jobs/job-api-server.ts
+++ b/packages/daemon/src/jobs/job-api-server.ts
@@ -226,7 +226,7 @@
 		for (let attempt = 0; attempt < acceptanceAttempts; attempt++) {
 			const {revision} = operatorCache.state;
 			const accepted = await jobs.accept(createJob(decoded.submission, {id: authorized.id, queue, organisation}), {
-				condition: platform.operatorFormat.createConfigurationCondition(revision), deadlineAt: authorized.deadlineAt,
+				payload: decoded.submission.payload, condition: platform.operatorFormat.createConfigurationCondition(revision), deadlineAt: authorized.deadlineAt,
 			});
 			if (accepted.type === 'accepted') {
 				logger.log('job-accepted', {
@@ -331,14 +331,13 @@
 
 function createJob(submission: Submission, options: {id: string; queue: Queue; organisation: string}): Job {
 	const {id, queue, organisation} = options;
-	const {payload, steps, repeatCount, startAtMs, intervalMs} = submission;
+	const {steps, repeatCount, startAtMs, intervalMs} = submission;
 	return {
 		id,
 		queue: queue.name,
 		service: queue.service,
 		organisation,
 		acceptedAtMs: Date.now(),
-		payload,
 		steps: [...steps],
 		priority: queue.priority,
 		maximumAttempts: queue.maximumAttempts,
--- a/packages/daemon/src/jobs/job-store.test.ts
+++ b/packages/daemon/src/jobs/job-store.test.ts
@@ -21,7 +21,7 @@
 		const deadlines = Array.from({length: 14}, (_, position) => 600 + (position * 10));
 		await Promise.all(deadlines.map(async deadlineMs => {
 			const deadlineAt = performance.now() + deadlineMs;
-			const accepted = await new JobStore({store}).accept(createJob('a'), {condition: {key: 'configuration', modRevision: 1}, deadlineAt});
+			const accepted = await new JobStore({store}).accept(createJob('a'), {payload: '', condition: {key: 'configuration', modRevision: 1}, deadlineAt});
 			assert.equal(accepted.type, 'unavailable');
 			assert.ok(performance.now() < deadlineAt, `answered after a deadline of ${deadlineMs} ms`);
 		}));
--- a/packages/daemon/src/jobs/job-store.ts
+++ b/packages/daemon/src/jobs/job-store.ts
@@ -2,14 +2,19 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {LRUCache} from 'lru-cache';
 import {z} from 'zod';
-import {type Job, type JobEnd, jobEndSchema} from '@rosemaryquay/core/jobs/job-schema';
+import {type EndedJob, type Job} from '@rosemaryquay/core/jobs/job-schema';
 import {type Store} from '@rosemaryquay/core/store/store';
 import {type Comparison, type Entry} from '@rosemaryquay/core/store/transaction';
+import {createEndedJobKey} from './create-ended-job-key.js';
 import {createJobKey} from './create-job-key.js';
 import {createJobPrefix} from './create-job-prefix.js';
+import {createPayloadKey} from './create-payload-key.js';
+import {encodeJob} from './encode-job.js';
 import {jobsPrefix, summaryKey} from './keys.js';
+import {parseEndedJob} from './parse-ended-job.js';
 import {parseJob} from './parse-job.js';
 import {parseJobKey} from './parse-job-key.js';
+import {parseStoredValue} from './parse-stored-value.js';
 import {type JobState} from './ports.js';
 
 /** Delay before a failed write is retried. */
@@ -24,10 +29,7 @@
 /** Age above which a summary of the queues counts as left behind by a former owner; more than twice `summaryIntervalMs`, at which an owner publishes it. */
 const maximumSummaryAgeMs = 2500;
 
-/**
- * Number of completed or failed jobs whose state is cached; callers ask several times about a job that has just ended.
- * Cancelled jobs are not cached: a stored end replaces the state `cancelled`.
- */
+/** Number of ended jobs whose state is cached; callers ask several times about a job that has just ended. */
 const endedJobCacheSize = 2000;
 
 const summarySchema = z.object({publishedAtMs: z.number(), queues: z.record(z.string(), z.object({waiting: z.number()}))});
@@ -41,7 +43,7 @@
 	/** The job may have been stored, or may still be stored later. */
 	| {readonly type: 'unknown'; readonly detail: string};
 
-/** The state of a stored job; `acceptedRevision` is the store revision of its part `accepted`. */
+/** The state of a stored job; `acceptedRevision` is the store revision of its part `accepted`, 0 once the job has ended. */
 export type FoundJob = {readonly organisation: string; readonly queue: string; readonly state: JobState; readonly acceptedRevision: number};
 
 export type Lookup = {readonly ok: true; readonly job: FoundJob | undefined} | {readonly ok: false; readonly detail: string};
@@ -67,27 +69,28 @@
 	 * stored already is accepted again.
 	 *
 	 * @param job - the job
-	 * @param options - condition on the configuration, and the local monotonic time in milliseconds after which no further attempt is made
+	 * @param options - payload of the job, condition on the configuration, and the local monotonic time in milliseconds after which no further attempt is made
 	 * @returns whether the job is stored; never rejects
 	 */
-	async accept(job: Job, options: {condition: Comparison; deadlineAt: number}): Promise<Acceptance> {
-		const {condition, deadlineAt} = options;
+	async accept(job: Job, options: {payload: string; condition: Comparison; deadlineAt: number}): Promise<Acceptance> {
+		const {payload, condition, deadlineAt} = options;
 		const key = createJobKey(job.id, 'accepted');
-		const value = JSON.stringify(job);
+		const endedKey = createEndedJobKey(job.id);
+		const value = encodeJob(job);
 		let isUnknown = false;
 		for (;;) {
 			const outcome = await this.#call(this.#store.transact({
-				compare: [condition, {key, modRevision: 0}],
-				success: [{type: 'put', key, value}],
-				failure: [{type: 'get', key: condition.key}, {type: 'get', key}],
+				compare: [condition, {key, modRevision: 0}, {key: endedKey, modRevision: 0}],
+				success: [{type: 'put', key, value}, {type: 'put', key: createPayloadKey(job.id), value: payload}],
+				failure: [{type: 'get', key: condition.key}, {type: 'get', key}, {type: 'get', key: endedKey}],
 			}));
 			if (outcome.ok && outcome.value.succeeded) {
 				return {type: 'accepted'};
 			}
 
 			if (outcome.ok) {
-				const [configuration, stored] = outcome.value.entries;
-				return stored === undefined ? this.#toAcceptance(isUnknown, configuration) : {type: 'accepted'};
+				const [configuration, stored, ended] = outcome.value.entries;
+				return stored === undefined && ended === undefined ? this.#toAcceptance(isUnknown, configuration) : {type: 'accepted'};
 			}
 
 			isUnknown ||= outcome.reason !== 'unavailable';
@@ -118,11 +121,7 @@
 		}
 
 		const job = decodeFoundJob(listing.value.entries);
-		if (job !== undefined && (job.state === 'completed' || job.state === 'failed')) {
-			this.#endedJobs.set(id, job);
-		}
-
-		return {ok: true, job};
+		return job === undefined ? this.#findEnded(id) : {ok: true, job};
 	}
 
 	/**
@@ -143,8 +142,8 @@
 	}
 
 	/**
-	 * Counts the jobs of a queue that have not begun, from the owner's summary. When that is outdated, counts its stored jobs
-	 * that are neither ended nor cancelled: an upper bound, since it includes running jobs.
+	 * Counts the jobs of a queue that have not begun, from the owner's summary. When that is outdated, counts its unfinished
+	 * jobs that are not cancelled: an upper bound, since it includes running jobs.
 	 *
 	 * @param queue - name of the queue
 	 * @returns the number, or undefined when the store did not answer
@@ -172,6 +171,24 @@
 		}
 	}
 
+	async #findEnded(id: string): Promise<Lookup> {
+		const key = createEndedJobKey(id);
+		const listing = await this.#call(this.#store.list(key));
+		if (!listing.ok) {
+			return {ok: false, detail: listing.detail ?? listing.reason};
+		}
+
+		const entry = listing.value.entries.find(candidate => candidate.key === key);
+		const ended = entry === undefined ? undefined : parseEndedJob(entry.value);
+		if (ended === undefined) {
+			return {ok: true, job: undefined};
+		}
+
+		const job = toFoundJob(ended);
+		this.#endedJobs.set(id, job);
+		return {ok: true, job};
+	}
+
 	/** Awaits a call to the store and records its time if it succeeds. */
 	async #call<Outcome extends {readonly ok: boolean}>(call: Promise<Outcome>): Promise<Outcome> {
 		const outcome = await call;
@@ -201,11 +218,6 @@
 }
 
 function deriveState(parts: ReadonlyMap<string | undefined, Entry>): JobState {
-	const end = parseEnd(parts.get('end')?.value);
-	if (end !== undefined) {
-		return end.state;
-	}
-
 	if (parts.has('cancelled')) {
 		return 'cancelled';
 	}
@@ -213,27 +225,29 @@
 	return parts.has('progress') ? 'running' : 'queued';
 }
 
-function parseEnd(value: string | undefined): JobEnd | undefined {
-	return value === undefined ? undefined : jobEndSchema.safeParse(JSON.parse(value)).data;
+function toFoundJob({organisation, queue, state}: EndedJob): FoundJob {
+	return {
+		organisation, queue, state, acceptedRevision: 0,
+	};
 }
 
 function parseSummary(value: string | undefined): z.infer<typeof summarySchema> | undefined {
-	return value === undefined ? undefined : summarySchema.safeParse(JSON.parse(value)).data;
+	return value === undefined ? undefined : parseStoredValue(summarySchema, value);
 }
 
 function countUnfinished(entries: readonly Entry[], queue: string): number {
-	const endedOrCancelled = new Set<string>();
+	const cancelled = new Set<string>();
 	for (const {key} of entries) {
 		const location = parseJobKey(key);
-		if (location?.part === 'end' || location?.part === 'cancelled') {
-			endedOrCancelled.add(location.id);
+		if (location?.part === 'cancelled') {
+			cancelled.add(location.id);
 		}
 	}
 
 	let count = 0;
 	for (const {key, value} of entries) {
 		const location = parseJobKey(key);
-		if (location?.part === 'accepted' && !endedOrCancelled.has(location.id) && parseJob(value)?.queue === queue) {
+		if (location?.part === 'accepted' && !cancelled.has(location.id) && parseJob(value)?.queue === queue) {
 			count++;
 		}
 	}
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -4,9 +4,18 @@
 
 const root = 'rosemaryquay/';
 
-/** Prefix of all keys of jobs. */
+/** Prefix of the parts of unfinished jobs; the end of a job deletes them, so that a listing grows only with the unfinished work. */
 export const jobsPrefix = `${root}jobs/`;
 
+/** Prefix of the payloads of unfinished jobs. They are apart from the other parts, because a new owner needs them only when it starts tasks. */
+export const payloadsPrefix = `${root}jobs-payloads/`;
+
+/** Prefix of the records of ended jobs. */
+export const endedJobsPrefix = `${root}jobs-ended/`;
+
+/** Prefix that the parts, the payloads and the ends of jobs share, for a single watch of all of them. */
+export const jobChangesPrefix = `${root}jobs`;
+
 /** Identity of the process that owns the schedule; the entry is bound to the lease of that process. */
 export const ownerKey = `${root}owner`;
 
@@ -26,8 +35,8 @@
 export const wavesPrefix = `${root}waves/`;
 
 /**
- * Parts of a stored job; each part is an entry of its own. `accepted` contains the job as submitted, `cancelled` marks its
- * cancellation, `progress` contains its done tasks and its failures, and `end` contains its final state.
+ * Parts of an unfinished job; each part is an entry of its own. `accepted` contains the job as submitted without its
+ * payload, `cancelled` marks its cancellation, and `progress` contains its done tasks and its failures.
  */
-export const jobParts = ['accepted', 'cancelled', 'progress', 'end'] as const;
+export const jobParts = ['accepted', 'cancelled', 'progress'] as const;
 export type JobPart = (typeof jobParts)[number];
--- a/packages/daemon/src/jobs/owner-election.ts
+++ b/packages/daemon/src/jobs/owner-election.ts
@@ -24,6 +24,9 @@
 /** Delay before a failed claim is retried. */
 const claimRetryDelayMs = 200;
 
+/** Time without claims after the process has yielded the ownership, so that another process gets it. */
+const yieldPauseMs = 2000;
+
 /** A won election. The owner is the one process, elected by a lease, that runs the scheduler. */
 export type OwnershipGrant = {
 	/** Consecutive number of the ownership, from which run numbers are derived. */
@@ -54,6 +57,7 @@
 	/** True from the scheduling of a claim to its end. */
 	#isClaimPending = false;
 	#isStopped = false;
+	#isYielding = false;
 	/**
 	 * While true, the schedule is assumed to have an owner and no claim is made. True until the first listing, so that no claim
 	 * is made before it; false after this process has lost the ownership, until the store names an owner.
@@ -111,11 +115,26 @@
 		const lease = this.#leaseId;
 		this.#loseOwnership('resigned');
 		if (lease !== undefined) {
-			const revoked = await this.#store.revokeLease(lease);
-			if (!revoked.ok) {
-				this.#logger.log('owner-resignation-failed', {reason: revoked.reason, detail: revoked.detail});
-			}
+			await this.#revoke(lease);
+		}
+	}
+
+	/** Gives up the ownership, so that another process can claim it at once; this one claims again after a pause. */
+	async yield(reason: string): Promise<void> {
+		const lease = this.#leaseId;
+		if (lease === undefined || this.#isYielding) {
+			return;
 		}
+
+		this.#isYielding = true;
+		this.#loseOwnership(reason);
+		await this.#revoke(lease);
+		setTimeout(() => {
+			this.#isYielding = false;
+			if (!this.#isOwnerAssumed) {
+				this.#scheduleClaim(Math.random() * claimJitterMs);
+			}
+		}, yieldPauseMs);
 	}
 
 	/** Gives up an ownership that a later owner has superseded; the process stays a candidate. */
@@ -124,6 +143,13 @@
 		this.#scheduleClaim(claimRetryDelayMs);
 	}
 
+	async #revoke(lease: string): Promise<void> {
+		const revoked = await this.#store.revokeLease(lease);
+		if (!revoked.ok) {
+			this.#logger.log('owner-resignation-failed', {reason: revoked.reason, detail: revoked.detail});
+		}
+	}
+
 	#observeOwner(owner: Entry | undefined): void {
 		this.#isOwnerAssumed = owner !== undefined;
 		if (owner === undefined) {
@@ -138,7 +164,7 @@
 	}
 
 	#scheduleClaim(delayMs: number): void {
-		if (this.#isClaimPending || this.#isStopped || this.#grant !== undefined) {
+		if (this.#isClaimPending || this.#isStopped || this.#isYielding || this.#grant !== undefined) {
 			return;
 		}
 
--- a/packages/daemon/src/jobs/parse-job-key.ts
+++ b/packages/daemon/src/jobs/parse-job-key.ts
@@ -1,12 +1,12 @@
 import {type JobPart, jobParts, jobsPrefix} from './keys.js';
 
 /**
- * Parses the store key of one part of a job.
+ * Parses the store key of one part of an unfinished job.
  *
  * @param key - any store key
  * @returns identifier and part of the job; undefined for other keys
  * @example
- * parseJobKey(createJobKey('00000000000000a1', 'end'))?.part; // 'end'
+ * parseJobKey(createJobKey('00000000000000a1', 'progress'))?.part; // 'progress'
  */
 export function parseJobKey(key: string): {readonly id: string; readonly part: JobPart} | undefined {
 	const [id, name, ...rest] = key.slice(jobsPrefix.length).split('/');
--- a/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
@@ -9,6 +9,7 @@
 import {createJobKey} from './create-job-key.js';
 import {ownerKey} from './keys.js';
 import {type EffectContext, performSchedulerEffect} from './perform-scheduler-effect.js';
+import {PayloadCache} from './payload-cache.js';
 import {type Platform} from './ports.js';
 
 /** Key of occurrence 0, step 0 in stored progress. */
@@ -36,7 +37,9 @@
 		logger: createLogger({name: 'test', level: 'error'}),
 		grant: {term: 1, fencingToken: model.revision},
 		instance: 'entry-1',
+		payloads: new PayloadCache({store: store as Store}),
 		commitGuard: {revision: 0},
+		isOwner: () => true,
 		dispatch(event) {
 			events.push(event);
 		},
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -4,11 +4,14 @@
 import {type Operation} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
 import {type LogEvent} from '../log-events.js';
+import {createEndedJobKey} from './create-ended-job-key.js';
 import {createJobKey} from './create-job-key.js';
+import {createPayloadKey} from './create-payload-key.js';
 import {
-	holdersKey, commitGuardKey, ownerKey, summaryKey, wavesPrefix,
+	holdersKey, commitGuardKey, jobParts, ownerKey, summaryKey, wavesPrefix,
 } from './keys.js';
 import {type OwnershipGrant} from './owner-election.js';
+import {type PayloadCache} from './payload-cache.js';
 import {type OwnerIdentity, type Platform} from './ports.js';
 
 /** The store accepts 32 entries in a transaction; two conditions and the commit guard use three of them. */
@@ -22,8 +25,11 @@
 	readonly logger: Logger;
 	readonly grant: OwnershipGrant;
 	readonly instance: string;
+	readonly payloads: PayloadCache;
 	/** Last known store revision of the commit guard, the key that every commit replaces. */
 	readonly commitGuard: {revision: number};
+	/** True while the process is certain to own the schedule. */
+	isOwner(): boolean;
 	dispatch(event: SchedulerEvent): void;
 	stepDown(reason: string): void;
 };
@@ -31,10 +37,15 @@
 type Handlers = {[Type in SchedulerEffect['type']]: (effect: Extract<SchedulerEffect, {type: Type}>, context: EffectContext & {owner: OwnerIdentity}) => Promise<void> | void};
 
 const handlers: Handlers = {
-	async start({worker, address, job, task, run, leaseUntilMs, checkpoint, ticket}, {platform, owner, dispatch}) {
-		const answer = await platform.workers.start({
-			owner, worker, address, task, run, payload: job.payload, leaseUntilMs, checkpoint, ticket,
-		});
+	async start({worker, address, job, task, run, leaseUntilMs, checkpoint, ticket}, {platform, owner, payloads, isOwner, dispatch}) {
+		const cached = payloads.read(job);
+		const payload = typeof cached === 'string' ? cached : await cached;
+		// While the payload was read, the process may have been paused or lost the ownership.
+		const answer = payload === undefined || !isOwner()
+			? {outcome: 'withheld' as const}
+			: await platform.workers.start({
+				owner, worker, address, task, run, payload, leaseUntilMs, checkpoint, ticket,
+			});
 		dispatch({
 			type: 'start-answered', worker, task, run, answer,
 		});
@@ -67,15 +78,14 @@
 		});
 	},
 	async commit({number, writes}, context) {
-		const operations = writes.flatMap(write => encodeWrite(write));
-		for (let first = 0; first < operations.length; first += maximumOperationsPerTransaction) {
-			if (!await commitOperations(operations.slice(first, first + maximumOperationsPerTransaction), context)) {
+		for (const operations of splitIntoTransactions(writes)) {
+			if (!await commitOperations(operations, context)) {
 				context.dispatch({type: 'commit-failed', number});
 				return;
 			}
 		}
 
-		logEndedJobs(writes, context.logger);
+		finishEndedJobs(writes, context);
 		context.dispatch({type: 'committed', number});
 	},
 	async 'publish-summary'({queues}, context) {
@@ -183,7 +193,11 @@
 
 const writeEncoders: {[Type in StoreWrite['type']]: (write: Extract<StoreWrite, {type: Type}>) => Operation[]} = {
 	progress: ({job, progress}) => [{type: 'put', key: createJobKey(job, 'progress'), value: JSON.stringify(progress)}],
-	end: ({job, end}) => [{type: 'put', key: createJobKey(job, 'end'), value: JSON.stringify(end)}],
+	end: ({job, end}) => [
+		{type: 'put', key: createEndedJobKey(job), value: JSON.stringify(end)},
+		{type: 'delete', key: createPayloadKey(job)},
+		...jobParts.map(part => ({type: 'delete' as const, key: createJobKey(job, part)})),
+	],
 	wave: ({wave, done}) => [{type: 'put', key: `${wavesPrefix}${wave}`, value: JSON.stringify(done)}],
 	holders: ({holders}) => [{type: 'put', key: holdersKey, value: JSON.stringify(holders)}],
 };
@@ -193,9 +207,26 @@
 	return encode(write);
 }
 
-function logEndedJobs(writes: readonly StoreWrite[], logger: Logger): void {
+/** Splits writes into transactions that the store accepts; the operations of one write stay together. */
+function splitIntoTransactions(writes: readonly StoreWrite[]): Operation[][] {
+	const transactions: Operation[][] = [];
+	for (const write of writes) {
+		const operations = encodeWrite(write);
+		const last = transactions.at(-1);
+		if (last === undefined || last.length + operations.length > maximumOperationsPerTransaction) {
+			transactions.push(operations);
+		} else {
+			last.push(...operations);
+		}
+	}
+
+	return transactions;
+}
+
+function finishEndedJobs(writes: readonly StoreWrite[], {logger, payloads}: EffectContext): void {
 	for (const write of writes) {
 		if (write.type === 'end') {
+			payloads.delete(write.job);
 			logger.log('job-ended', {job: write.job, state: write.end.state});
 		}
 	}
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -8,17 +8,21 @@
 import {taskLeaseMs} from '@rosemaryquay/core/jobs/constants';
 import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
 import {type LeaseHolder, type Scheduler} from '@rosemaryquay/core/jobs/scheduler';
-import {type Change} from '@rosemaryquay/core/store/transaction';
+import {type Change, type Listing} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
 import {decodeUnfinishedJobs} from './decode-unfinished-jobs.js';
 import {followPrefix} from './follow-prefix.js';
-import {holdersKey, jobsPrefix, wavesPrefix} from './keys.js';
+import {
+	holdersKey, jobChangesPrefix, jobsPrefix, wavesPrefix,
+} from './keys.js';
 import {type OperatorStateCache} from './operator-state-cache.js';
 import {type OwnershipGrant, type OwnerElection} from './owner-election.js';
 import {parseHolders} from './parse-holders.js';
 import {parseJob} from './parse-job.js';
 import {parseJobKey} from './parse-job-key.js';
 import {parseMaintainedInstances} from './parse-maintained-instances.js';
+import {parsePayloadKey} from './parse-payload-key.js';
+import {PayloadCache} from './payload-cache.js';
 import {performSchedulerEffect} from './perform-scheduler-effect.js';
 import {type Platform} from './ports.js';
 import {type ProcessSettings} from './process-settings.js';
@@ -32,6 +36,9 @@
 /** Delay before a failed read of the store is repeated at a takeover. */
 const loadRetryDelayMs = 100;
 
+/** Attempts to read one part of the schedule at a takeover, after which another process gets the chance to take over. */
+const loadAttempts = 3;
+
 /** Largest run lease, as a fraction of the longest lease that workers accept. */
 const usableLeaseFraction = 0.8;
 
@@ -50,6 +57,7 @@
 	readonly #unsubscribers: Array<() => void> = [];
 	readonly #deferredEvents: SchedulerEvent[] = [];
 	readonly #commitGuard = {revision: 0};
+	readonly #payloads: PayloadCache;
 	#scheduler: Scheduler | undefined;
 	#tickInterval: NodeJS.Timeout | undefined;
 	#pendingTick: NodeJS.Timeout | undefined;
@@ -57,6 +65,7 @@
 
 	constructor(options: Options) {
 		this.#options = options;
+		this.#payloads = new PayloadCache({store: options.platform.store});
 	}
 
 	/** Takes over the schedule: restores its state from the store and starts scheduling. */
@@ -152,7 +161,9 @@
 				logger,
 				grant,
 				instance: settings.instance,
+				payloads: this.#payloads,
 				commitGuard: this.#commitGuard,
+				isOwner: () => election.isOwner,
 				dispatch: event => {
 					this.dispatch(event);
 				},
@@ -189,24 +200,39 @@
 		return undefined;
 	}
 
+	/** Reads the schedule from the store. Resolves to undefined when the process stops or gives up the ownership. */
 	async #load() {
 		const {platform} = this.#options;
-		while (!this.#isStopped) {
-			const [jobs, holders, maintained, statuses] = await Promise.all([
-				platform.store.list(jobsPrefix),
-				platform.store.list(holdersKey),
-				platform.store.list(wavesPrefix),
-				platform.store.list(platform.operatorFormat.waveStatusPrefix),
-			]);
-			if (jobs.ok && holders.ok && maintained.ok && statuses.ok) {
-				const completed = statuses.value.entries.map(entry => platform.operatorFormat.decodeCompletedWave(entry)).filter(number => number !== undefined);
-				return {
-					jobs: decodeUnfinishedJobs(jobs.value.entries),
-					revision: jobs.value.revision,
-					holders: parseHolders(holders.value.entries.find(({key}) => key === holdersKey)?.value),
-					maintainedInstances: parseMaintainedInstances(maintained.value.entries),
-					completedWaves: new Set(completed),
-				};
+		const [jobs, holders, maintained, statuses] = await Promise.all([jobsPrefix, holdersKey, wavesPrefix, platform.operatorFormat.waveStatusPrefix].map(async prefix => this.#loadPart(prefix)));
+		if (jobs === undefined || holders === undefined || maintained === undefined || statuses === undefined) {
+			return undefined;
+		}
+
+		const completed = statuses.entries.map(entry => platform.operatorFormat.decodeCompletedWave(entry)).filter(number => number !== undefined);
+		return {
+			jobs: decodeUnfinishedJobs(jobs.entries),
+			revision: jobs.revision,
+			holders: parseHolders(holders.entries.find(({key}) => key === holdersKey)?.value),
+			maintainedInstances: parseMaintainedInstances(maintained.entries),
+			completedWaves: new Set(completed),
+		};
+	}
+
+	async #loadPart(prefix: string): Promise<Listing | undefined> {
+		const {platform, logger, election} = this.#options;
+		const startedAt = performance.now();
+		for (let attempt = 1; !this.#isStopped; attempt++) {
+			const listing = await platform.store.list(prefix);
+			if (listing.ok) {
+				return listing.value;
+			}
+
+			logger.log('schedule-load-failed', {
+				prefix, attempt, reason: listing.reason, detail: listing.detail, elapsedMs: Math.round(performance.now() - startedAt),
+			});
+			if (attempt >= loadAttempts && !this.#isStopped) {
+				await election.yield('The schedule could not be read');
+				return undefined;
 			}
 
 			await delay(loadRetryDelayMs);
@@ -263,36 +289,41 @@
 	}
 
 	#followJobs(fromRevision: number): () => void {
-		const applyChange = ({key, value}: Change): void => {
-			const location = parseJobKey(key);
-			if (location === undefined || value === undefined) {
-				return;
+		const applyChanges = (changes: readonly Change[]): void => {
+			// A payload is stored together with its job and may follow it here, so all payloads come first.
+			for (const {key, value} of changes) {
+				const id = parsePayloadKey(key);
+				if (id !== undefined && value !== undefined) {
+					this.#payloads.set(id, value);
+				}
 			}
 
-			if (location.part === 'accepted') {
-				const job = parseJob(value);
-				if (job !== undefined) {
-					this.dispatch({type: 'job-accepted', job});
-				}
-			} else if (location.part === 'cancelled') {
-				this.dispatch({type: 'job-cancelled', id: location.id});
+			for (const change of changes) {
+				this.#applyJobChange(change);
 			}
 		};
 
-		return followPrefix(this.#options.platform.store, jobsPrefix, {
+		return followPrefix(this.#options.platform.store, jobChangesPrefix, {
 			onListing({entries}) {
-				const ended = new Set(entries.map(({key}) => parseJobKey(key)).filter(location => location?.part === 'end').map(location => location?.id));
-				for (const entry of entries) {
-					if (!ended.has(parseJobKey(entry.key)?.id)) {
-						applyChange(entry);
-					}
-				}
+				applyChanges(entries);
 			},
-			onChanges(changes) {
-				for (const change of changes) {
-					applyChange(change);
-				}
-			},
-		}, {fromRevision});
+			onChanges: applyChanges,
+		}, {fromRevision, listingPrefix: jobsPrefix});
+	}
+
+	#applyJobChange({key, value}: Change): void {
+		const location = parseJobKey(key);
+		if (location === undefined || value === undefined) {
+			return;
+		}
+
+		if (location.part === 'accepted') {
+			const job = parseJob(value);
+			if (job !== undefined) {
+				this.dispatch({type: 'job-accepted', job});
+			}
+		} else if (location.part === 'cancelled') {
+			this.dispatch({type: 'job-cancelled', id: location.id});
+		}
 	}
 }
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -129,6 +129,9 @@
 	'owner-stepped-down': {
 		number: 602, level: 'warn', text: 'This process is no longer the owner of the schedule', action: 'None, unless it repeats; then check the store.',
 	},
+	'schedule-load-failed': {
+		number: 635, level: 'warn', text: 'A part of the schedule could not be read at a takeover; it is read again', action: 'Check the store and the network of the instance.',
+	},
 	'owner-resignation-failed': {
 		number: 603, level: 'warn', text: 'The lease of the schedule ownership could not be revoked and expires on its own', action: 'None.',
 	},
--- a/packages/daemon/src/send-request.ts
+++ b/packages/daemon/src/send-request.ts
@@ -19,14 +19,14 @@
  *
  * @param dispatcher - connection pool of the server
  * @param request - the request
- * @param options - largest body in bytes, and a callback that receives the function that aborts the request
+ * @param options - largest body in bytes, a callback that receives the function that aborts the request, and one that is called whenever a part of the response arrives
  * @returns the response
  * @throws {ResponseTooLargeError} when the body exceeds the limit
  * @example
  * const response = await sendRequest(pool, {path: '/tasks', method: 'POST', body}, {bodyBytes: 1024});
  */
-export async function sendRequest(dispatcher: Dispatcher, request: Dispatcher.DispatchOptions, options: {bodyBytes: number; onStart?: (abort: () => void) => void}): Promise<BufferedResponse> {
-	const {bodyBytes, onStart} = options;
+export async function sendRequest(dispatcher: Dispatcher, request: Dispatcher.DispatchOptions, options: {bodyBytes: number; onStart?: (abort: () => void) => void; onProgress?: () => void}): Promise<BufferedResponse> {
+	const {bodyBytes, onStart, onProgress} = options;
 	return new Promise((resolve, reject) => {
 		const chunks: Uint8Array[] = [];
 		let receivedBytes = 0;
@@ -41,6 +41,7 @@
 			onResponseStart(_controller, statusCode, responseHeaders) {
 				status = statusCode;
 				headers = responseHeaders;
+				onProgress?.();
 			},
 			onResponseData(controller, chunk) {
 				receivedBytes += chunk.length;
@@ -50,6 +51,7 @@
 				}
 
 				chunks.push(chunk);
+				onProgress?.();
 			},
 			onResponseEnd() {
 				const [first] = chunks;
--- a/packages/testing/src/jobs/create-fleet.ts
+++ b/packages/testing/src/jobs/create-fleet.ts
@@ -70,7 +70,6 @@
 		service: 'planner',
 		organisation: 'north',
 		acceptedAtMs: 0,
-		payload: '',
 		steps: [{
 			count: 2, cpuMillis: 2000, memoryMb: 1024, estimatedMs: 500,
 		}],
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -63,7 +63,12 @@
 
 	readonly #handlers: {[Type in SchedulerEffect['type']]: (effect: Extract<SchedulerEffect, {type: Type}>, owner: ModelledOwner) => void} = {
 		start: (effect, owner) => {
-			const {job, task, run, leaseUntilMs} = effect;
+			const {task, run, leaseUntilMs} = effect;
+			const job = this.#store.jobs.get(effect.job)?.job;
+			if (job === undefined) {
+				throw new Error(`Task ${task} was started, but job ${effect.job} was never submitted`);
+			}
+
 			this.#callWorker(effect, owner, model => model.start(this.now, {
 				fence: owner.fence, task, run, leaseUntilMs, behaviour: describeBehaviour(task, job, this.#getBehaviour(task, job)),
 			}));
--- a/packages/testing/src/jobs/store-http.ts
+++ b/packages/testing/src/jobs/store-http.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
 import {z} from 'zod';
 import {type Change, type Entry} from '@rosemaryquay/core/store/transaction';
 import {readBody} from '../read-body.js';
@@ -11,12 +13,20 @@
 
 const pageSize = 500;
 
+/** Largest size of a page, encoded. */
+const pageBytes = 1_000_000;
+
+const packetBytes = 8192;
+
 const transactionSchema = z.object({
 	expected_rev: z.array(z.object({key: z.string(), revision: z.number()})).default([]),
 	puts: z.array(z.object({key: z.string(), value: z.string(), lease: z.number().optional()})).default([]),
 	deletes: z.array(z.string()).default([]),
 });
 
+/** An entry as the store sends it. */
+type Item = {readonly key: string; readonly value: string; readonly revision: number; readonly create_rev: number; readonly lease: number};
+
 type Answer = {readonly status: number; readonly body?: unknown};
 
 /** Stand-in for the platform's own key-value store over HTTP, which holds the state of the job scheduler. */
@@ -24,6 +34,11 @@
 	readonly model = new StoreModel();
 	fault: StoreFault = 'none';
 	calls = 0;
+	/** Rate of the link from the store, shared by all answers; infinite by default. */
+	bytesPerSecond = Number.POSITIVE_INFINITY;
+	/** Bytes of all answers. */
+	sentBytes = 0;
+	#linkFreeAt = 0;
 	#server: ListeningServer | undefined;
 	readonly #createRevisions = new Map<string, number>();
 
@@ -35,8 +50,8 @@
 		'kv-range': ({query}) => {
 			const after = query.get('after') ?? '';
 			const entries = this.model.list(query.get('prefix') ?? '').entries.filter(({key}) => key > after);
-			const items = entries.slice(0, pageSize).map(entry => this.#encode(entry));
-			return {status: 200, body: {items, has_more: entries.length > pageSize, current_rev: this.model.revision}};
+			const items = this.#encodePage(entries);
+			return {status: 200, body: {items, has_more: entries.length > items.length, current_rev: this.model.revision}};
 		},
 		'kv-watch': async ({query}) => this.#watch(query),
 		'kv-txn': ({body}) => this.#transact(body),
@@ -86,7 +101,28 @@
 			return;
 		}
 
-		send(response, answer);
+		await this.#send(response, answer);
+	}
+
+	/** Sends an answer in parts of a network packet each, at the rate of the link. */
+	async #send(response: ServerResponse, {status, body}: Answer): Promise<void> {
+		const bytes = Buffer.from(body === undefined ? '' : JSON.stringify(body));
+		this.sentBytes += bytes.length;
+		if (this.bytesPerSecond === Number.POSITIVE_INFINITY) {
+			send(response, {status, body});
+			return;
+		}
+
+		response.writeHead(status, {'content-type': 'application/json', 'content-length': bytes.length});
+		for (let position = 0; position < bytes.length && !response.destroyed; position += packetBytes) {
+			const packet = bytes.subarray(position, position + packetBytes);
+			const now = performance.now();
+			this.#linkFreeAt = Math.max(this.#linkFreeAt, now) + ((packet.length / this.bytesPerSecond) * 1000);
+			await delay(this.#linkFreeAt - now);
+			response.write(packet);
+		}
+
+		response.end();
 	}
 
 	async #answer(request: IncomingMessage, body: Uint8Array): Promise<Answer> {
@@ -156,7 +192,23 @@
 		return {status: 200, body: {revision}};
 	}
 
-	#encode({key, value, modRevision, leaseId}: Entry) {
+	#encodePage(entries: readonly Entry[]): Item[] {
+		const items: Item[] = [];
+		let bytes = 0;
+		for (const entry of entries.slice(0, pageSize)) {
+			const item = this.#encode(entry);
+			bytes += item.value.length;
+			if (items.length > 0 && bytes > pageBytes) {
+				break;
+			}
+
+			items.push(item);
+		}
+
+		return items;
+	}
+
+	#encode({key, value, modRevision, leaseId}: Entry): Item {
 		return {
 			key, value: Buffer.from(value).toString('base64'), revision: modRevision, create_rev: this.#createRevisions.get(key) ?? modRevision, lease: Number(leaseId ?? 0),
 		};
