Bound unanswered start orders, and confirm unanswered starts by a report

The load of the pools was nowhere in the log; each write of progress came back to its writer through the watch of the jobs.

Change: the number of unanswered start orders is limited by a window that grows with fast answers and shrinks with slow or lost ones; after three unanswered orders the next report decides whether the run is adopted or stopped; the end of a done task is acknowledged only when no other run of it can start; workers are judged silent only after the answers that arrived during a pause of the process have been read; a vacant ownership is claimed later by small instances; progress has a prefix of its own, which nobody watches; event 636 logs load and capacity of each pool once a second.

--- a/packages/cli/src/fleet/read-job.ts
+++ b/packages/cli/src/fleet/read-job.ts
@@ -1,5 +1,6 @@
 import {createEndedJobKey} from '@rosemaryquay/daemon/jobs/create-ended-job-key';
 import {createJobPrefix} from '@rosemaryquay/daemon/jobs/create-job-prefix';
+import {createProgressKey} from '@rosemaryquay/daemon/jobs/create-progress-key';
 import {decodeUnfinishedJobs} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
 import {parseEndedJob} from '@rosemaryquay/daemon/jobs/parse-ended-job';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
@@ -16,12 +17,12 @@
  * const job = await readJob(platform, '00000000000000a1');
  */
 export async function readJob(platform: Platform, id: string): Promise<ReadResult<JobRecord | undefined>> {
-	const listing = await platform.store.list(createJobPrefix(id));
-	if (!listing.ok) {
-		return {ok: false, detail: listing.detail ?? listing.reason};
+	const [listing, progress] = await Promise.all([createJobPrefix(id), createProgressKey(id)].map(async prefix => platform.store.list(prefix)));
+	if (!listing?.ok) {
+		return {ok: false, detail: listing?.detail ?? listing?.reason ?? ''};
 	}
 
-	const [unfinishedJob] = decodeUnfinishedJobs(listing.value.entries);
+	const [unfinishedJob] = decodeUnfinishedJobs([...listing.value.entries, ...progress?.ok ? progress.value.entries : []]);
 	if (unfinishedJob !== undefined) {
 		return {ok: true, value: unfinishedJob};
 	}
--- a/packages/cli/src/fleet/read-unfinished-jobs.ts
+++ b/packages/cli/src/fleet/read-unfinished-jobs.ts
@@ -1,5 +1,6 @@
+import {type Entry} from '@rosemaryquay/core/store/transaction';
 import {decodeUnfinishedJobs, type UnfinishedJob} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
-import {jobsPrefix} from '@rosemaryquay/daemon/jobs/keys';
+import {jobsPrefix, progressPrefix} from '@rosemaryquay/daemon/jobs/keys';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
 import {type ReadResult} from './read-schedule-state.js';
 
@@ -12,8 +13,15 @@
  * const jobs = await readUnfinishedJobs(platform);
  */
 export async function readUnfinishedJobs(platform: Platform): Promise<ReadResult<readonly UnfinishedJob[]>> {
-	const listing = await platform.store.list(jobsPrefix);
-	return listing.ok
-		? {ok: true, value: decodeUnfinishedJobs(listing.value.entries)}
-		: {ok: false, detail: listing.detail ?? listing.reason};
+	const listings = await Promise.all([jobsPrefix, progressPrefix].map(async prefix => platform.store.list(prefix)));
+	const entries: Entry[] = [];
+	for (const listing of listings) {
+		if (!listing.ok) {
+			return {ok: false, detail: listing.detail ?? listing.reason};
+		}
+
+		entries.push(...listing.value.entries);
+	}
+
+	return {ok: true, value: decodeUnfinishedJobs(entries)};
 }
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -28,6 +28,9 @@
 /** Orders to start the same run before it is given up as unanswered; an order is normally answered within milliseconds. */
 export const maximumStartOrders = 3;
 
+/** Start orders that a new owner may have unanswered at the same time; over a link of 2 Mbit/s, they take less than half of a call's time-out. */
+export const initialOrderWindow = 32;
+
 /** Pause before an unanswered order is repeated. */
 export const orderRetryMs = 300;
 
--- a/packages/core/src/jobs/create-scheduler.ts
+++ b/packages/core/src/jobs/create-scheduler.ts
@@ -1,6 +1,6 @@
 import {type Configuration} from './configuration-schema.js';
 import {
-	leaseSlackMs, taskLeaseMs, slowestClockRate,
+	initialOrderWindow, leaseSlackMs, taskLeaseMs, slowestClockRate,
 } from './constants.js';
 import {createWorker} from './create-worker.js';
 import {type LeaseHolder, type Scheduler} from './scheduler.js';
@@ -36,6 +36,8 @@
 		stopMs,
 		earlyMs,
 		housekeepingDueAt: 0,
+		tickedAt: now,
+		resumedAt: Number.NEGATIVE_INFINITY,
 		configuration,
 		withdrawnZones: new Set(),
 		workers: new Map(),
@@ -44,6 +46,7 @@
 		endingJobs: new Set(),
 		endedJobs: new Map(),
 		tasks: new Map(),
+		orderWindow: {size: initialOrderWindow, reducedUntil: 0},
 		usedByOrganisation: new Map(),
 		unreconciledByOrganisation: new Map(),
 		dirtyJobs: new Set(),
--- a/packages/core/src/jobs/create-worker.ts
+++ b/packages/core/src/jobs/create-worker.ts
@@ -31,6 +31,7 @@
 		lastSeenAt: now,
 		receivedEndNumber: 0,
 		committedEndNumber: 0,
+		contestedEnds: new Map(),
 		consecutiveFailures: 0,
 		backoffUntil: 0,
 		unresponsive: false,
--- a/packages/core/src/jobs/handle-report.ts
+++ b/packages/core/src/jobs/handle-report.ts
@@ -33,7 +33,13 @@
 	}
 
 	for (const task of worker.tasks) {
-		if (requestedAt >= task.expectedInReportsFrom && runningById.get(task.id)?.run !== task.run) {
+		if (requestedAt < task.expectedInReportsFrom || runningById.get(task.id)?.run === task.run) {
+			continue;
+		}
+
+		if (task.state === 'starting') {
+			stopTask(context, task);
+		} else {
 			context.effects.push({
 				type: 'log', level: 'warn', event: 'task-missing', fields: {task: task.id, run: task.run, worker: worker.id},
 			});
@@ -51,6 +57,7 @@
 			releaseLostTasks(context, worker, 'worker-restarted');
 			worker.receivedEndNumber = 0;
 			worker.committedEndNumber = 0;
+			worker.contestedEnds.clear();
 			worker.leaseUntilMs = 0;
 		}
 
--- a/packages/core/src/jobs/handle-start-answer.test.ts
+++ b/packages/core/src/jobs/handle-start-answer.test.ts
@@ -3,7 +3,7 @@
 import {configurationSchema} from './configuration-schema.js';
 import {createScheduler} from './create-scheduler.js';
 import {type SchedulerEffect} from './effect.js';
-import {type OrderOutcome, type SchedulerEvent} from './event.js';
+import {type OrderOutcome, type SchedulerEvent, type WorkerReport} from './event.js';
 import {jobSchema} from './job-schema.js';
 import {reduceScheduler} from './reduce-scheduler.js';
 
@@ -26,12 +26,12 @@
 		return reduceScheduler(scheduler, event, {now, timeOfDay: now});
 	};
 
-	const report = (ended: Extract<SchedulerEvent, {type: 'worker-reported'}>['report']['ended'] = []): SchedulerEvent => ({
+	const report = (ended: WorkerReport['ended'] = [], running: WorkerReport['running'] = []): SchedulerEvent => ({
 		type: 'worker-reported',
 		worker: 'w1',
 		requestedAt: now,
 		report: {
-			startedAtMs: 1, clockMs: now, running: [], ended,
+			startedAtMs: 1, clockMs: now, running, ended,
 		},
 	});
 	dispatch({
@@ -47,7 +47,7 @@
 	dispatch({
 		type: 'job-accepted',
 		job: jobSchema.parse({
-			id: 'a', queue: 'plans', service: 'planner', organisation: '', acceptedAtMs: 0, payload: '', maximumAttempts: 3, steps: [{count: 1, cpuMillis: 500, estimatedMs: 100}],
+			id: 'a', queue: 'plans', service: 'planner', organisation: '', acceptedAtMs: 0, maximumAttempts: 3, steps: [{count: 1, cpuMillis: 500, estimatedMs: 100}],
 		}),
 	});
 	const answer = (run: number, outcome: OrderOutcome): SchedulerEvent => ({
@@ -92,6 +92,47 @@
 		});
 	}
 
+	it('guards against stopping a running task because the answers to all its orders were lost', () => {
+		const {scheduler, dispatch, report, answer} = createOwner();
+		dispatch({type: 'ticked'});
+		for (let order = 1; order <= 3; order++) {
+			assert.deepEqual(dispatch(answer(1, 'unanswered')).filter(({type}) => type === 'stop'), []);
+		}
+
+		const effects = dispatch(report([], [{
+			task: 'a.0.0.0', run: 1, checkpoint: '', percent: 40, load: 0,
+		}]));
+		assert.deepEqual(effects.filter(({type}) => type === 'stop'), []);
+		assert.equal(scheduler.tasks.get('a.0.0.0')?.state, 'running');
+	});
+
+	it('stops the run when all its orders were unanswered and a later report does not show it, because one of them may be carried out late', () => {
+		const {dispatch, report, answer} = createOwner();
+		dispatch({type: 'ticked'});
+		for (let order = 1; order <= 3; order++) {
+			dispatch(answer(1, 'unanswered'));
+		}
+
+		assert.equal(dispatch(report()).filter(({type}) => type === 'stop').length, 1);
+		assert.deepEqual(listStarts(dispatch({type: 'ticked'})), []);
+	});
+
+	for (const outcome of ['unreachable', 'withheld'] as const) {
+		it(`starts a higher run after a pause when the only order was not sent: ${outcome}`, () => {
+			const {scheduler, dispatch, report, answer} = createOwner();
+			dispatch({type: 'ticked'});
+			assert.deepEqual(dispatch(answer(1, outcome)).filter(({type}) => type === 'stop'), []);
+			assert.equal(scheduler.tasks.get('a.0.0.0')?.state, 'unassigned');
+			dispatch(report());
+			assert.deepEqual(listStarts(dispatch({type: 'ticked'})), []);
+			for (let event = 0; event < 60; event++) {
+				dispatch({type: 'instances-unlisted'});
+			}
+
+			assert.deepEqual(listStarts(dispatch({type: 'ticked'})), [2]);
+		});
+	}
+
 	it('steps down when a worker has seen a later owner', () => {
 		const {dispatch, answer} = createOwner();
 		dispatch({type: 'ticked'});
--- a/packages/core/src/jobs/handle-start-answer.ts
+++ b/packages/core/src/jobs/handle-start-answer.ts
@@ -1,6 +1,7 @@
 import {
 	initialBackoffMs, failureThreshold, maximumStartOrders, orderRetryMs,
 } from './constants.js';
+import {adjustOrderWindow} from './adjust-order-window.js';
 import {type OrderAnswer, type OrderOutcome} from './event.js';
 import {endIncarnation} from './end-incarnation.js';
 import {type ReducerContext} from './reducer-context.js';
@@ -59,12 +60,18 @@
 	withheld: handleUnsent,
 	unreachable: handleUnsent,
 	unanswered(context, task) {
-		if (task.startOrders < maximumStartOrders && !task.group.job.cancelled) {
+		if (task.group.job.cancelled) {
+			stopTask(context, task);
+			return;
+		}
+
+		if (task.startOrders < maximumStartOrders) {
 			sendStart(context, task);
 			return;
 		}
 
-		stopTask(context, task);
+		// It may run. A report that is requested from now on either shows it, or is followed by a stop, which keeps a late order from starting it.
+		task.expectedInReportsFrom = context.now;
 	},
 };
 
@@ -102,6 +109,7 @@
 	}
 
 	const task = context.scheduler.tasks.get(id);
+	adjustOrderWindow(context.scheduler.orderWindow, {outcome, latencyMs: context.now - (task?.lastOrderAt ?? context.now)}, context.now);
 	if (outcome === 'unanswered' || outcome === 'unreachable') {
 		// A later answer to another call shows that only this one was lost.
 		worker.unresponsive ||= task !== undefined && worker.lastResponseAt < task.lastOrderAt;
--- a/packages/core/src/jobs/handle-task-end.ts
+++ b/packages/core/src/jobs/handle-task-end.ts
@@ -13,10 +13,13 @@
 type TaskEndContext = {readonly task: Task; readonly worker: Worker; readonly ended: EndedTask};
 
 const handlers: Record<TaskOutcome, (context: ReducerContext, end: TaskEndContext) => void> = {
-	done(context, {task, worker}) {
+	done(context, {task, worker, ended}) {
 		worker.consecutiveFailures = 0;
 		completeTaskGroup(context, task.group);
-		stopDuplicateRun(context, task, worker);
+		stopDuplicateRun(context, task);
+		if (task.worker !== undefined && !task.group.definition.allowDuplicates) {
+			worker.contestedEnds.set(ended.number, {task, run: task.run});
+		}
 	},
 	failed(context, {task, worker, ended}) {
 		const {group} = task;
@@ -75,8 +78,8 @@
 }
 
 /** Stops another run of a task that is done: one that replaced a run given up too early, or a duplicate. */
-function stopDuplicateRun(context: ReducerContext, task: Task, worker: Worker): void {
-	if (task.worker !== undefined && task.worker !== worker && task.state !== 'stopping') {
+function stopDuplicateRun(context: ReducerContext, task: Task): void {
+	if (task.worker !== undefined && task.state !== 'stopping') {
 		stopTask(context, task);
 	}
 }
--- a/packages/core/src/jobs/place-ready-tasks.ts
+++ b/packages/core/src/jobs/place-ready-tasks.ts
@@ -1,3 +1,4 @@
+import {countOpenOrders} from './count-open-orders.js';
 import {ensureTickets} from './ensure-tickets.js';
 import {chooseWorkers} from './choose-workers.js';
 import {compareRanks} from './compare-ranks.js';
@@ -28,6 +29,9 @@
 /** Stands for the service of a worker that the store no longer lists; it may run tasks of any service. */
 const unknownService = '';
 
+/** Number of start orders that may still be sent in this round. */
+type OrderBudget = {orders: number};
+
 const noUnreconciledUsage = new Map<string, Resources>();
 
 /**
@@ -52,7 +56,8 @@
 		}
 	}
 
-	if (waiting.length === 0) {
+	const budget = {orders: scheduler.orderWindow.size - countOpenOrders(scheduler)};
+	if (waiting.length === 0 || budget.orders <= 0) {
 		return;
 	}
 
@@ -60,10 +65,14 @@
 	const failures = new Map<string, number>();
 	const ranked = waiting.map(job => ({job, rank: rankJob(scheduler, job, now)})).toSorted((left, right) => compareRanks(left.rank, right.rank));
 	for (const {job} of ranked) {
+		if (budget.orders <= 0) {
+			return;
+		}
+
 		const {service} = findQueuePolicy(scheduler, job);
 		const workers = schedulable.get(service) ?? [];
 		if (workers.length > 0 && (failures.get(service) ?? 0) < maximumPlacementFailures) {
-			const unplaced = placeJob(context, job, workers);
+			const unplaced = placeJob(context, job, {workers, budget});
 			failures.set(service, (failures.get(service) ?? 0) + unplaced.length);
 			for (const group of unplaced) {
 				if (group.definition.longRunning) {
@@ -108,12 +117,13 @@
 }
 
 /** Places as many tasks of a job as possible and returns the first group of each step that does not fit. */
-function placeJob(context: ReducerContext, job: ActiveJob, workers: readonly Worker[]): TaskGroup[] {
+function placeJob(context: ReducerContext, job: ActiveJob, options: {workers: readonly Worker[]; budget: OrderBudget}): TaskGroup[] {
+	const {workers, budget} = options;
 	const unplaced: TaskGroup[] = [];
 	for (const steps of job.occurrences.values()) {
 		for (const step of steps) {
 			if (isStepReady(steps, step) && ensureTickets(context, step, workers)) {
-				const first = placeStep(context, step, workers);
+				const first = placeStep(context, step, {workers, budget});
 				if (first !== undefined) {
 					unplaced.push(first);
 				}
@@ -124,10 +134,15 @@
 	return unplaced;
 }
 
-function placeStep(context: ReducerContext, step: StepState, workers: readonly Worker[]): TaskGroup | undefined {
+function placeStep(context: ReducerContext, step: StepState, options: {workers: readonly Worker[]; budget: OrderBudget}): TaskGroup | undefined {
+	const {workers, budget} = options;
 	const placed: Task[] = [];
 	let unplaced: TaskGroup | undefined;
 	for (const group of step.groups) {
+		if (budget.orders <= 0) {
+			break;
+		}
+
 		if (!isUnassigned(group) || group.earliestStartAt > context.now) {
 			continue;
 		}
@@ -138,6 +153,7 @@
 		}
 
 		placed.push(...group.tasks);
+		budget.orders -= group.tasks.length;
 	}
 
 	logPlacement(context, step, placed);
--- a/packages/core/src/jobs/publish-summary.ts
+++ b/packages/core/src/jobs/publish-summary.ts
@@ -1,4 +1,5 @@
 import {summaryIntervalMs} from './constants.js';
+import {logPoolLoads} from './log-pool-loads.js';
 import {type QueueSummary} from './effect.js';
 import {type ReducerContext} from './reducer-context.js';
 
@@ -24,4 +25,5 @@
 	}
 
 	context.effects.push({type: 'publish-summary', queues});
+	logPoolLoads(context);
 }
--- a/packages/core/src/jobs/reduce-scheduler.ts
+++ b/packages/core/src/jobs/reduce-scheduler.ts
@@ -33,9 +33,17 @@
 /** Interval of housekeeping, which checks every task and instance; a sixth of the shortest time-out checked there. */
 const housekeepingIntervalMs = 50;
 
+/** Time between two `ticked` events from which the process counts as having been paused; they are normally 40 ms apart. */
+const processPauseMs = 250;
+
 const handlers: Handlers = {
 	ticked(context) {
 		const {scheduler, now} = context;
+		if (now - scheduler.tickedAt > processPauseMs) {
+			scheduler.resumedAt = now;
+		}
+
+		scheduler.tickedAt = now;
 		if (now >= scheduler.housekeepingDueAt) {
 			scheduler.housekeepingDueAt = now + housekeepingIntervalMs;
 			runHousekeeping(context);
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -6,6 +6,7 @@
 import {type Configuration, type Resources} from './configuration-schema.js';
 import {type ListedInstance, type Move, type Wave} from './instance.js';
 import {type Job, type JobEnd, type Step} from './job-schema.js';
+import {type OrderWindow} from './order-window.js';
 
 /** A worker as its entry in the store describes it. */
 export type ListedWorker = {
@@ -67,6 +68,11 @@
 	receivedEndNumber: number;
 	/** Sequence number of the last task end whose effect is stored. */
 	committedEndNumber: number;
+	/**
+	 * Ends of done tasks of which another run may still start elsewhere, by number. They and later ends are not acknowledged
+	 * before that run is ruled out.
+	 */
+	readonly contestedEnds: Map<number, {readonly task: Task; readonly run: number}>;
 	consecutiveFailures: number;
 	backoffUntil: number;
 	/** The last call was not answered; the worker gets no new tasks until it answers. */
@@ -205,6 +211,10 @@
 	/** Bound of the platform: how long before its due time an occurrence may start. Not used: occurrences are opened once they are due. */
 	readonly earlyMs: number;
 	housekeepingDueAt: number;
+	/** Local time of the last `ticked` event. */
+	tickedAt: number;
+	/** Local time at which the process last resumed after a pause, during which it read no answers. */
+	resumedAt: number;
 	configuration: Configuration;
 	readonly withdrawnZones: Set<string>;
 	readonly workers: Map<string, Worker>;
@@ -216,6 +226,7 @@
 	/** Jobs removed from memory, with the local time of their removal; an older read of the store may still contain them. */
 	readonly endedJobs: Map<string, number>;
 	readonly tasks: Map<string, Task>;
+	readonly orderWindow: OrderWindow;
 	readonly usedByOrganisation: Map<string, Resources>;
 	/** Resources that tasks of a former owner may use on workers that have not answered yet, by organisation. */
 	unreconciledByOrganisation: ReadonlyMap<string, Resources>;
--- a/packages/core/src/jobs/supervise-workers.ts
+++ b/packages/core/src/jobs/supervise-workers.ts
@@ -8,6 +8,9 @@
 import {type Task, type Worker} from './scheduler.js';
 import {stopTask} from './stop-task.js';
 
+/** Time after a pause of the process in which it reads the answers that have arrived meanwhile, before it judges any worker as silent. */
+const answerReadingMs = 300;
+
 /**
  * Supervises all workers: releases the tasks of unresponsive ones once their lease has expired, repeats unanswered stop
  * orders, stops stalled tasks, and relocates long-running tasks from workers that are leaving.
@@ -19,6 +22,10 @@
 export function superviseWorkers(context: ReducerContext): void {
 	const {scheduler, now} = context;
 	for (const worker of scheduler.workers.values()) {
+		if (now - scheduler.resumedAt < answerReadingMs) {
+			continue;
+		}
+
 		if (worker.tasks.size > 0 && now > findLeaseExpiry(worker)) {
 			releaseLostTasks(context, worker, 'lease-lapsed');
 		}
--- a/packages/core/src/jobs/write-progress.ts
+++ b/packages/core/src/jobs/write-progress.ts
@@ -1,6 +1,7 @@
 import {commitIntervalMs} from './constants.js';
 import {type StoreWrite} from './effect.js';
 import {type Progress} from './job-schema.js';
+import {findAcknowledgeableEnd} from './find-acknowledgeable-end.js';
 import {type ReducerContext} from './reducer-context.js';
 import {type ActiveJob, type Worker} from './scheduler.js';
 
@@ -20,8 +21,8 @@
 	const jobs = [...scheduler.dirtyJobs];
 	const holders = scheduler.holdersDirty ? listHolders(scheduler.workers.values()) : [];
 	const acknowledgements = [...scheduler.workers.values()]
-		.filter(({receivedEndNumber, committedEndNumber}) => receivedEndNumber > committedEndNumber)
-		.map(worker => ({worker, startedAtMs: worker.startedAtMs, endNumber: worker.receivedEndNumber}));
+		.map(worker => ({worker, startedAtMs: worker.startedAtMs, endNumber: findAcknowledgeableEnd(worker)}))
+		.filter(({worker, endNumber}) => endNumber > worker.committedEndNumber);
 	if (jobs.length === 0 && !scheduler.holdersDirty && scheduler.dirtyWaves.size === 0) {
 		// The ends, such as those of stopped tasks, changed nothing that is stored.
 		for (const {worker, endNumber} of acknowledgements) {
--- a/packages/daemon/src/jobs/create-job-key.ts
+++ b/packages/daemon/src/jobs/create-job-key.ts
@@ -8,7 +8,7 @@
  * @param part - part of the job
  * @returns the store key
  * @example
- * createJobKey('00000000000000a1', 'progress');
+ * createJobKey('00000000000000a1', 'accepted');
  */
 export function createJobKey(id: string, part: JobPart): string {
 	return `${createJobPrefix(id)}${part}`;
--- a/packages/daemon/src/jobs/decode-unfinished-jobs.ts
+++ b/packages/daemon/src/jobs/decode-unfinished-jobs.ts
@@ -1,6 +1,6 @@
 import {type Job, type Progress, progressSchema} from '@rosemaryquay/core/jobs/job-schema';
 import {type Entry} from '@rosemaryquay/core/store/transaction';
-import {type JobPart} from './keys.js';
+import {type JobPart, progressPrefix} from './keys.js';
 import {parseJob} from './parse-job.js';
 import {parseJobKey} from './parse-job-key.js';
 import {parseStoredValue} from './parse-stored-value.js';
@@ -15,14 +15,20 @@
 /**
  * Groups stored entries into unfinished jobs and leaves out those that cannot be parsed.
  *
- * @param entries - all entries below the prefix of jobs, or below that of one job
+ * @param entries - the entries of the parts of jobs and of their progress
  * @returns the jobs
  * @example
- * decodeUnfinishedJobs(listing.entries);
+ * decodeUnfinishedJobs([...jobs.entries, ...progress.entries]);
  */
 export function decodeUnfinishedJobs(entries: readonly Entry[]): UnfinishedJob[] {
 	const parts = new Map<string, Partial<Record<JobPart, string>>>();
+	const progressById = new Map<string, string>();
 	for (const {key, value} of entries) {
+		if (key.startsWith(progressPrefix)) {
+			progressById.set(key.slice(progressPrefix.length), value);
+			continue;
+		}
+
 		const location = parseJobKey(key);
 		if (location !== undefined) {
 			parts.set(location.id, {...parts.get(location.id), [location.part]: value});
@@ -30,7 +36,8 @@
 	}
 
 	const jobs: UnfinishedJob[] = [];
-	for (const {accepted, cancelled, progress} of parts.values()) {
+	for (const [id, {accepted, cancelled}] of parts) {
+		const progress = progressById.get(id);
 		const job = accepted === undefined ? undefined : parseJob(accepted);
 		if (job !== undefined) {
 			jobs.push({job, progress: progress === undefined ? undefined : parseStoredValue(progressSchema, progress), cancelled: cancelled !== undefined});
--- a/packages/daemon/src/jobs/fleet-process.ts
+++ b/packages/daemon/src/jobs/fleet-process.ts
@@ -58,6 +58,7 @@
 			store: platform.store,
 			logger,
 			name: settings.instance,
+			size: settings.size,
 			listener: {
 				onGained: grant => {
 					this.#beginOwnership(grant);
@@ -85,7 +86,7 @@
 	}
 
 	async start(): Promise<void> {
-		this.#logger.log('process-started', {instance: this.#settings.instance, availabilityZone: this.#settings.availabilityZone});
+		this.#logger.log('process-started', {instance: this.#settings.instance, availabilityZone: this.#settings.availabilityZone, ...this.#settings.size});
 		this.#operatorCache.start();
 		await Promise.all([this.#jobApi.start(), this.#readiness.start(), this.#metrics.start()]);
 		this.#election.start();
--- a/packages/daemon/src/jobs/job-store.ts
+++ b/packages/daemon/src/jobs/job-store.ts
@@ -9,6 +9,7 @@
 import {createJobKey} from './create-job-key.js';
 import {createJobPrefix} from './create-job-prefix.js';
 import {createPayloadKey} from './create-payload-key.js';
+import {createProgressKey} from './create-progress-key.js';
 import {encodeJob} from './encode-job.js';
 import {jobsPrefix, summaryKey} from './keys.js';
 import {parseEndedJob} from './parse-ended-job.js';
@@ -121,7 +122,11 @@
 		}
 
 		const job = decodeFoundJob(listing.value.entries);
-		return job === undefined ? this.#findEnded(id) : {ok: true, job};
+		if (job === undefined) {
+			return this.#findEnded(id);
+		}
+
+		return job.state === 'cancelled' || await this.#hasProgress(id) === false ? {ok: true, job} : {ok: true, job: {...job, state: 'running'}};
 	}
 
 	/**
@@ -171,6 +176,13 @@
 		}
 	}
 
+	/** Tells whether any task of a job has ended; undefined when the store did not answer. */
+	async #hasProgress(id: string): Promise<boolean | undefined> {
+		const key = createProgressKey(id);
+		const listing = await this.#call(this.#store.list(key));
+		return listing.ok ? listing.value.entries.some(entry => entry.key === key) : undefined;
+	}
+
 	async #findEnded(id: string): Promise<Lookup> {
 		const key = createEndedJobKey(id);
 		const listing = await this.#call(this.#store.list(key));
@@ -218,11 +230,7 @@
 }
 
 function deriveState(parts: ReadonlyMap<string | undefined, Entry>): JobState {
-	if (parts.has('cancelled')) {
-		return 'cancelled';
-	}
-
-	return parts.has('progress') ? 'running' : 'queued';
+	return parts.has('cancelled') ? 'cancelled' : 'queued';
 }
 
 function toFoundJob({organisation, queue, state}: EndedJob): FoundJob {
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -13,7 +13,10 @@
 /** Prefix of the records of ended jobs. */
 export const endedJobsPrefix = `${root}jobs-ended/`;
 
-/** Prefix that the parts, the payloads and the ends of jobs share, for a single watch of all of them. */
+/** Prefix of the progress of unfinished jobs: their done tasks and their failures. */
+export const progressPrefix = `${root}progress/`;
+
+/** Prefix that the parts, the payloads and the ends of jobs share, for a single watch of all of them. The progress is not below it, because only its writer would watch it. */
 export const jobChangesPrefix = `${root}jobs`;
 
 /** Identity of the process that owns the schedule; the entry is bound to the lease of that process. */
@@ -36,7 +39,7 @@
 
 /**
  * Parts of an unfinished job; each part is an entry of its own. `accepted` contains the job as submitted without its
- * payload, `cancelled` marks its cancellation, and `progress` contains its done tasks and its failures.
+ * payload, and `cancelled` marks its cancellation.
  */
-export const jobParts = ['accepted', 'cancelled', 'progress'] as const;
+export const jobParts = ['accepted', 'cancelled'] as const;
 export type JobPart = (typeof jobParts)[number];
--- a/packages/daemon/src/jobs/owner-election.ts
+++ b/packages/daemon/src/jobs/owner-election.ts
@@ -3,8 +3,10 @@
 import {type Store} from '@rosemaryquay/core/store/store';
 import {type Entry} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
+import {computeClaimDelay} from './compute-claim-delay.js';
 import {followPrefix} from './follow-prefix.js';
 import {ownerKey, termKey} from './keys.js';
+import {type ProcessSettings} from './process-settings.js';
 
 /** A shorter lease fails over sooner; a longer one survives process pauses and slow answers of the store. */
 const ownerLeaseTtlMs = 1500;
@@ -47,6 +49,8 @@
 	readonly #store: Store;
 	readonly #logger: Logger;
 	readonly #name: string;
+	readonly #size: ProcessSettings['size'];
+	readonly #createdAt = performance.now();
 	readonly #listener: OwnershipListener;
 	readonly #nonce = randomUUID();
 	#stopFollowing: (() => void) | undefined;
@@ -66,10 +70,11 @@
 	/** Wall clock minus monotonic clock, in milliseconds; grows when the system was suspended, not when only the process was paused. */
 	#clockOffset = Date.now() - performance.now();
 
-	constructor(options: {store: Store; logger: Logger; name: string; listener: OwnershipListener}) {
+	constructor(options: {store: Store; logger: Logger; name: string; size: ProcessSettings['size']; listener: OwnershipListener}) {
 		this.#store = options.store;
 		this.#logger = options.logger;
 		this.#name = options.name;
+		this.#size = options.size;
 		this.#listener = options.listener;
 	}
 
@@ -132,7 +137,7 @@
 		setTimeout(() => {
 			this.#isYielding = false;
 			if (!this.#isOwnerAssumed) {
-				this.#scheduleClaim(Math.random() * claimJitterMs);
+				this.#scheduleFirstClaim();
 			}
 		}, yieldPauseMs);
 	}
@@ -153,7 +158,7 @@
 	#observeOwner(owner: Entry | undefined): void {
 		this.#isOwnerAssumed = owner !== undefined;
 		if (owner === undefined) {
-			this.#scheduleClaim(Math.random() * claimJitterMs);
+			this.#scheduleFirstClaim();
 		} else if (this.#grant !== undefined && owner.value !== this.#encodeOwner() && owner.modRevision > this.#grant.fencingToken) {
 			this.#loseOwnership('Another process owns the schedule');
 		}
@@ -163,6 +168,11 @@
 		return JSON.stringify({instance: this.#name, nonce: this.#nonce});
 	}
 
+	#scheduleFirstClaim(): void {
+		const delayMs = computeClaimDelay(this.#size, {uptimeMs: performance.now() - this.#createdAt});
+		this.#scheduleClaim(delayMs + (Math.random() * claimJitterMs));
+	}
+
 	#scheduleClaim(delayMs: number): void {
 		if (this.#isClaimPending || this.#isStopped || this.#isYielding || this.#grant !== undefined) {
 			return;
--- a/packages/daemon/src/jobs/parse-job-key.ts
+++ b/packages/daemon/src/jobs/parse-job-key.ts
@@ -6,7 +6,7 @@
  * @param key - any store key
  * @returns identifier and part of the job; undefined for other keys
  * @example
- * parseJobKey(createJobKey('00000000000000a1', 'progress'))?.part; // 'progress'
+ * parseJobKey(createJobKey('00000000000000a1', 'accepted'))?.part; // 'accepted'
  */
 export function parseJobKey(key: string): {readonly id: string; readonly part: JobPart} | undefined {
 	const [id, name, ...rest] = key.slice(jobsPrefix.length).split('/');
--- a/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
@@ -6,7 +6,7 @@
 import {type Transaction} from '@rosemaryquay/core/store/transaction';
 import {StoreModel} from '@rosemaryquay/testing/store-model';
 import {createLogger} from '../create-logger.js';
-import {createJobKey} from './create-job-key.js';
+import {createProgressKey} from './create-progress-key.js';
 import {ownerKey} from './keys.js';
 import {type EffectContext, performSchedulerEffect} from './perform-scheduler-effect.js';
 import {PayloadCache} from './payload-cache.js';
@@ -64,7 +64,7 @@
 		}
 	};
 
-	const readProgress = (): unknown => JSON.parse(model.entries.get(createJobKey('a', 'progress'))?.value ?? 'null');
+	const readProgress = (): unknown => JSON.parse(model.entries.get(createProgressKey('a'))?.value ?? 'null');
 	return {
 		state, events, commit, executeDelayed, readProgress,
 	};
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -7,6 +7,7 @@
 import {createEndedJobKey} from './create-ended-job-key.js';
 import {createJobKey} from './create-job-key.js';
 import {createPayloadKey} from './create-payload-key.js';
+import {createProgressKey} from './create-progress-key.js';
 import {
 	holdersKey, commitGuardKey, jobParts, ownerKey, summaryKey, wavesPrefix,
 } from './keys.js';
@@ -192,10 +193,11 @@
 }
 
 const writeEncoders: {[Type in StoreWrite['type']]: (write: Extract<StoreWrite, {type: Type}>) => Operation[]} = {
-	progress: ({job, progress}) => [{type: 'put', key: createJobKey(job, 'progress'), value: JSON.stringify(progress)}],
+	progress: ({job, progress}) => [{type: 'put', key: createProgressKey(job), value: JSON.stringify(progress)}],
 	end: ({job, end}) => [
 		{type: 'put', key: createEndedJobKey(job), value: JSON.stringify(end)},
 		{type: 'delete', key: createPayloadKey(job)},
+		{type: 'delete', key: createProgressKey(job)},
 		...jobParts.map(part => ({type: 'delete' as const, key: createJobKey(job, part)})),
 	],
 	wave: ({wave, done}) => [{type: 'put', key: `${wavesPrefix}${wave}`, value: JSON.stringify(done)}],
--- a/packages/daemon/src/jobs/process-settings.ts
+++ b/packages/daemon/src/jobs/process-settings.ts
@@ -12,6 +12,12 @@
 	readiness: addressSchema,
 	/** Address on which the metrics are served. */
 	metrics: addressSchema,
+	/** Size of the instance. The owner of the schedule needs more than the other processes. */
+	size: z.object({
+		/** Processor time that the process gets, in cores. */
+		cores: z.number().positive().default(1),
+		linkMegabitsPerSecond: z.number().positive().default(1000),
+	}).prefault({}),
 	bounds: z.object({
 		/** Longest run lease that a worker accepts. */
 		longestLeaseMs: z.number(),
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -13,7 +13,7 @@
 import {decodeUnfinishedJobs} from './decode-unfinished-jobs.js';
 import {followPrefix} from './follow-prefix.js';
 import {
-	holdersKey, jobChangesPrefix, jobsPrefix, wavesPrefix,
+	holdersKey, jobChangesPrefix, jobsPrefix, progressPrefix, wavesPrefix,
 } from './keys.js';
 import {type OperatorStateCache} from './operator-state-cache.js';
 import {type OwnershipGrant, type OwnerElection} from './owner-election.js';
@@ -203,14 +203,14 @@
 	/** Reads the schedule from the store. Resolves to undefined when the process stops or gives up the ownership. */
 	async #load() {
 		const {platform} = this.#options;
-		const [jobs, holders, maintained, statuses] = await Promise.all([jobsPrefix, holdersKey, wavesPrefix, platform.operatorFormat.waveStatusPrefix].map(async prefix => this.#loadPart(prefix)));
-		if (jobs === undefined || holders === undefined || maintained === undefined || statuses === undefined) {
+		const [jobs, progress, holders, maintained, statuses] = await Promise.all([jobsPrefix, progressPrefix, holdersKey, wavesPrefix, platform.operatorFormat.waveStatusPrefix].map(async prefix => this.#loadPart(prefix)));
+		if (jobs === undefined || progress === undefined || holders === undefined || maintained === undefined || statuses === undefined) {
 			return undefined;
 		}
 
 		const completed = statuses.entries.map(entry => platform.operatorFormat.decodeCompletedWave(entry)).filter(number => number !== undefined);
 		return {
-			jobs: decodeUnfinishedJobs(jobs.entries),
+			jobs: decodeUnfinishedJobs([...jobs.entries, ...progress.entries]),
 			revision: jobs.revision,
 			holders: parseHolders(holders.entries.find(({key}) => key === holdersKey)?.value),
 			maintainedInstances: parseMaintainedInstances(maintained.entries),
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -48,6 +48,8 @@
 	/** Number of orders in a thousand whose answer is lost, and of those that are carried out late without an answer. */
 	lostAnswersPerThousand = 0;
 	lateOrdersPerThousand = 0;
+	/** Time in milliseconds that an order occupies the link of the owner. */
+	orderTransmissionMs = 0;
 	owner: ModelledOwner | undefined;
 	#configuration: Configuration;
 	readonly #store = new StoredSchedule();
@@ -91,8 +93,10 @@
 								type: 'worker-reported', worker, requestedAt: sentAt, report,
 							}, owner);
 					};
-				}, () => {
-					this.dispatch({type: 'report-failed', worker, outcome: 'unanswered'}, owner);
+				}, {
+					onTimeout: () => {
+						this.dispatch({type: 'report-failed', worker, outcome: 'unanswered'}, owner);
+					},
 				});
 			});
 		},
@@ -389,10 +393,13 @@
 					type, worker, task, run, answer,
 				}, owner);
 			};
-		}, () => {
-			this.dispatch({
-				type, worker, task, run, answer: {outcome: 'unanswered'},
-			}, owner);
+		}, {
+			onTimeout: () => {
+				this.dispatch({
+					type, worker, task, run, answer: {outcome: 'unanswered'},
+				}, owner);
+			},
+			transmissionMs: this.orderTransmissionMs,
 		});
 	}
 
--- a/packages/testing/src/jobs/network-model.ts
+++ b/packages/testing/src/jobs/network-model.ts
@@ -28,6 +28,8 @@
 /** Model of the network between the owner, the store and the workers: latency, and the faults in force. */
 export class NetworkModel {
 	readonly #fleet: Fleet;
+	/** Time at which the link of the owner has transmitted all orders sent so far. */
+	#linkFreeAt = 0;
 
 	constructor(fleet: Fleet) {
 		this.#fleet = fleet;
@@ -40,23 +42,24 @@
 	}
 
 	/**
-	 * Sends an order to a worker and delivers its answer.
+	 * Sends an order, or a request for a report, to a worker and delivers its answer.
 	 *
 	 * @param worker - identifier of the worker
 	 * @param carryOut - carries the order out on the worker, given whether the answer will reach the owner, and returns a function that delivers the answer
-	 * @param onTimeout - called when no answer has arrived within `callTimeoutMs`
+	 * @param options - called when no answer has arrived within `callTimeoutMs`; time that the call occupies the link of the owner
 	 */
-	callWorker(worker: string, carryOut: (model: WorkerModel, willReachOwner: boolean) => () => void, onTimeout: () => void): void {
+	callWorker(worker: string, carryOut: (model: WorkerModel, willReachOwner: boolean) => () => void, options: {onTimeout: () => void; transmissionMs?: number}): void {
+		const {onTimeout, transmissionMs = 0} = options;
 		const fleet = this.#fleet;
 		const sentAt = fleet.now;
 		const isLate = fleet.draw(1, partsPerThousand) <= fleet.lateOrdersPerThousand;
 		const isLost = fleet.draw(1, partsPerThousand) <= fleet.lostAnswersPerThousand;
-		const delayMs = isLate ? fleet.draw(minimumOrderDelayMs, maximumOrderDelayMs) : fleet.draw(minimumLatencyMs, maximumLatencyMs);
+		const delayMs = isLate ? fleet.draw(minimumOrderDelayMs, maximumOrderDelayMs) : fleet.draw(minimumLatencyMs, maximumLatencyMs) + this.#transmit(transmissionMs);
 		let isAnswered = false;
 		fleet.at(sentAt + delayMs, () => {
 			const model = fleet.workers.get(worker);
 			if (model?.isAlive && !fleet.silentWorkers.has(worker)) {
-				isAnswered = !isLate && !isLost;
+				isAnswered = !isLate && !isLost && fleet.now < sentAt + callTimeoutMs;
 				const answer = carryOut(model, isAnswered);
 				if (isAnswered) {
 					this.deliver(answer);
@@ -69,4 +72,11 @@
 			}
 		});
 	}
+
+	/** Returns the time until an order that is sent now has passed the link. */
+	#transmit(transmissionMs: number): number {
+		const {now} = this.#fleet;
+		this.#linkFreeAt = Math.max(this.#linkFreeAt, now) + transmissionMs;
+		return this.#linkFreeAt - now;
+	}
 }
--- a/packages/testing/src/jobs/takeover.test.ts
+++ b/packages/testing/src/jobs/takeover.test.ts
@@ -180,6 +180,26 @@
 		assert.deepEqual(fleet.unfinishedJobs, []);
 	});
 
+	it('guards against more orders than the link of a new owner bears, which all miss their time-outs', () => {
+		for (let seed = 1; seed <= 5; seed++) {
+			const fleet = new FleetModel({seed, configuration: createConfiguration(), workers: createWorkers(40)});
+			fleet.orderTransmissionMs = 5;
+			fleet.takeOver();
+			fleet.killOwner();
+			for (let count = 0; count < 60; count++) {
+				fleet.submit(createJob(`j${count}`, {steps: [{count: 8, cpuMillis: 1000, estimatedMs: 400}]}));
+			}
+
+			fleet.at(2000, () => {
+				fleet.takeOver();
+			});
+			fleet.runUntil(15_000);
+			assert.deepEqual(fleet.checker.violations, [], `seed ${seed}`);
+			assert.deepEqual(fleet.unfinishedJobs, [], `seed ${seed}`);
+			assert.equal(fleet.log.filter(({event, fields}) => event === 'start-refused' && fields.outcome === 'unanswered').length, 0, `seed ${seed}`);
+		}
+	});
+
 	it('guards against forgetting a worker that the store did not list during a takeover', () => {
 		const [additional, ...workers] = createWorkers(3).toReversed();
 		assert.ok(additional);
