End the ownership on every refusal for a fence

Cause: a refusal of a move or an upkeep because a later owner had been seen counted as busy and was repeated with the old token; the same refusal of a start was ignored when its task had been given up meanwhile, and of a speed limit it was only logged. Effects that were queued behind a step-down were still performed.

Change: the adapter tells these refusals apart; each of them ends the ownership, and no effect is performed after it.

--- a/packages/core/src/jobs/event.ts
+++ b/packages/core/src/jobs/event.ts
@@ -75,10 +75,10 @@
 	| {readonly type: 'tickets-answered'; readonly job: string; readonly occurrence: number; readonly step: number; readonly tickets: ReadonlyArray<{readonly worker: string; readonly value: string}>; readonly validMs: number}
 	| {readonly type: 'committed'; readonly number: number}
 	| {readonly type: 'commit-failed'; readonly number: number}
-	/** `foreign`: the order does not apply to this instance or wave, and repeating it is useless. `busy`: any other refusal. `unanswered`: the order may have been carried out. */
-	| {readonly type: 'upkeep-answered'; readonly wave: number; readonly instance: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'unanswered'}
+	/** `foreign`: the order does not apply to this instance or wave, and repeating it is useless. `fenced`: a later owner has sent orders about this instance. `busy`: any other refusal. `unanswered`: the order may have been carried out. */
+	| {readonly type: 'upkeep-answered'; readonly wave: number; readonly instance: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered'}
 	/** The outcomes are those of `upkeep-answered`. */
-	| {readonly type: 'move-answered'; readonly instance: string; readonly pool: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'unanswered'}
+	| {readonly type: 'move-answered'; readonly instance: string; readonly pool: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered'}
 	| {readonly type: 'wave-published'; readonly wave: number; readonly state: 'running' | 'completed'; readonly stored: boolean};
 
 /** Monotonic local time and wall-clock time at which an event is handled, both in milliseconds. */
--- a/packages/core/src/jobs/handle-move-answer.ts
+++ b/packages/core/src/jobs/handle-move-answer.ts
@@ -11,9 +11,14 @@
  * @example
  * handleMoveAnswer(context, {instance: 'm-1', pool: 'planner', outcome: 'accepted'});
  */
-export function handleMoveAnswer(context: ReducerContext, answer: {instance: string; pool: string; outcome: 'accepted' | 'busy' | 'foreign' | 'unanswered'}): void {
+export function handleMoveAnswer(context: ReducerContext, answer: {instance: string; pool: string; outcome: 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered'}): void {
 	const {scheduler, now} = context;
 	const {instance, pool, outcome} = answer;
+	if (outcome === 'fenced') {
+		context.effects.push({type: 'step-down', reason: 'A later owner has moved the instance'});
+		return;
+	}
+
 	const move = scheduler.moves.get(instance);
 	if (move?.state !== 'requested' || move.pool !== pool || outcome === 'unanswered') {
 		return;
--- a/packages/core/src/jobs/handle-start-answer.ts
+++ b/packages/core/src/jobs/handle-start-answer.ts
@@ -10,16 +10,13 @@
 import {sendStart} from './send-start.js';
 import {stopTask} from './stop-task.js';
 
-const handlers: Record<OrderOutcome, (context: ReducerContext, task: Task, worker: Worker) => void> = {
+const handlers: Record<Exclude<OrderOutcome, 'fenced'>, (context: ReducerContext, task: Task, worker: Worker) => void> = {
 	accepted(context, task) {
 		task.state = 'running';
 		task.expectedInReportsFrom = context.now;
 		task.progressedAt = context.now;
 		task.group.job.started = true;
 	},
-	fenced(context) {
-		context.effects.push({type: 'step-down', reason: 'A worker has seen a later owner'});
-	},
 	superseded(context, task) {
 		if (task.startOrders === 1) {
 			releaseTask(context, task);
@@ -119,6 +116,11 @@
 		worker.lastSeenAt = context.now;
 	}
 
+	if (outcome === 'fenced') {
+		context.effects.push({type: 'step-down', reason: 'A worker has seen a later owner'});
+		return;
+	}
+
 	if (task?.worker !== worker || task.run !== run) {
 		return;
 	}
--- a/packages/core/src/jobs/handle-upkeep-answer.ts
+++ b/packages/core/src/jobs/handle-upkeep-answer.ts
@@ -2,7 +2,7 @@
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 import {type ReducerContext} from './reducer-context.js';
 
-type Outcome = 'accepted' | 'busy' | 'foreign' | 'unanswered';
+type Outcome = 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered';
 
 /**
  * Processes the answer to a request for the upkeep of an instance. Once it is accepted, nothing runs on the instance.
@@ -15,6 +15,11 @@
 export function handleUpkeepAnswer(context: ReducerContext, answer: {wave: number; instance: string; outcome: Outcome}): void {
 	const {wave, instance, outcome} = answer;
 	const {scheduler, now} = context;
+	if (outcome === 'fenced') {
+		context.effects.push({type: 'step-down', reason: 'A later owner has ordered the upkeep of the instance'});
+		return;
+	}
+
 	const upkeep = scheduler.waves.get(wave)?.upkeeps.get(instance);
 	if (upkeep?.state !== 'requested') {
 		return;
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -70,13 +70,16 @@
 			}
 			: {type: 'report-failed', worker, outcome: answer.outcome});
 	},
-	async 'limit-speed'({worker, address, task, run, percent}, {platform, owner, logger}) {
+	async 'limit-speed'({worker, address, task, run, percent}, {platform, owner, logger, stepDown}) {
 		const {outcome} = await platform.workers.limitSpeed({
 			owner, worker, address, task, run, percent,
 		});
 		logger.log('task-speed-limited', {
 			worker, task, run, percent, outcome,
 		});
+		if (outcome === 'fenced') {
+			stepDown('A worker has seen a later owner');
+		}
 	},
 	async commit({number, writes}, context) {
 		for (const operations of splitIntoTransactions(writes)) {
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -62,10 +62,10 @@
 
 /**
  * Outcome of an order to the service that manages instances. `foreign`: the service does not accept the order for this
- * instance or wave, and retrying is useless. `busy`: any other refusal. `unanswered`: the service was temporarily
+ * instance or wave, and retrying is useless. `fenced`: it has seen a later owner. `busy`: any other refusal. `unanswered`: the service was temporarily
  * unavailable or gave no answer, and the order may have been carried out.
  */
-export type InstanceAnswer = 'accepted' | 'busy' | 'foreign' | 'unanswered';
+export type InstanceAnswer = 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered';
 
 /** Calls to the service that manages instances. Each resolves to an outcome and never rejects. */
 export type InstanceCalls = {
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -156,6 +156,11 @@
 	#perform(effects: readonly SchedulerEffect[]): void {
 		const {platform, logger, election, grant, settings} = this.#options;
 		for (const effect of effects) {
+			if (this.#isStopped) {
+				// An earlier effect ended the ownership.
+				return;
+			}
+
 			performSchedulerEffect(effect, {
 				platform,
 				logger,
