Place no tasks on a worker while runs that are not assigned to it are stopped

Change: a worker whose last report shows runs that are not assigned to it gets no tasks, and is asked again until they are gone.

Ruled out: the former owner's starts, which the fence refuses once the new owner has the report.

Not covered: the usage of such runs does not count towards the upper limit of their organisation.

--- a/packages/core/src/jobs/create-worker.ts
+++ b/packages/core/src/jobs/create-worker.ts
@@ -36,6 +36,7 @@
 		backoffUntil: 0,
 		unresponsive: false,
 		idleSince: now,
+		hasStrayRuns: false,
 		cordoned: false,
 	};
 }
--- a/packages/core/src/jobs/handle-report.ts
+++ b/packages/core/src/jobs/handle-report.ts
@@ -32,6 +32,11 @@
 		recordRunning(context, worker, running);
 	}
 
+	worker.hasStrayRuns = report.running.some(({task: id, run}) => {
+		const task = context.scheduler.tasks.get(id);
+		return task?.worker !== worker || task.run !== run;
+	});
+
 	for (const task of worker.tasks) {
 		if (requestedAt < task.expectedInReportsFrom || runningById.get(task.id)?.run === task.run) {
 			continue;
--- a/packages/core/src/jobs/list-schedulable-workers.ts
+++ b/packages/core/src/jobs/list-schedulable-workers.ts
@@ -37,6 +37,7 @@
 		&& !worker.unresponsive
 		&& !listing.leaving
 		&& !worker.cordoned
+		&& !worker.hasStrayRuns
 		&& now >= worker.backoffUntil
 		&& !scheduler.withdrawnZones.has(listing.availabilityZone)
 		// After its back-off, a failing worker gets one task at a time.
--- a/packages/core/src/jobs/request-reports.ts
+++ b/packages/core/src/jobs/request-reports.ts
@@ -13,7 +13,7 @@
 	const {scheduler, now} = context;
 	for (const worker of scheduler.workers.values()) {
 		if (worker.reportPending || now < worker.reportDueAt
-			|| (worker.acknowledgedOwner && !worker.unresponsive && worker.tasks.size === 0 && worker.receivedEndNumber === worker.committedEndNumber)) {
+			|| (worker.acknowledgedOwner && !worker.unresponsive && !worker.hasStrayRuns && worker.tasks.size === 0 && worker.receivedEndNumber === worker.committedEndNumber)) {
 			continue;
 		}
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/scheduler.ts
@@ -81,6 +81,8 @@
 	unresponsive: boolean;
 	/** Local time since which the worker has had no tasks. */
 	idleSince: number;
+	/** Its last report shows runs that are not assigned to it and are being stopped; what they use is not in `used`, so the worker gets no new tasks. */
+	hasStrayRuns: boolean;
 	/** The worker gets no new tasks because its instance is about to go down or to move. */
 	cordoned: boolean;
 };
--- a/packages/testing/src/jobs/takeover.test.ts
+++ b/packages/testing/src/jobs/takeover.test.ts
@@ -180,6 +180,25 @@
 		assert.deepEqual(fleet.unfinishedJobs, []);
 	});
 
+	it('guards against placing tasks on a worker that still runs tasks of a job that was cancelled before the takeover', () => {
+		for (let seed = 1; seed <= 10; seed++) {
+			const fleet = new FleetModel({seed, configuration: createConfiguration(), workers: createWorkers(2)});
+			fleet.takeOver();
+			fleet.submit(createJob('first', {steps: [{count: 4, cpuMillis: 7000, estimatedMs: 20_000}]}));
+			fleet.at(1000, () => {
+				fleet.killOwner();
+				fleet.cancel('first');
+				fleet.submit(createJob('second', {steps: [{count: 4, cpuMillis: 7000, estimatedMs: 300}]}));
+			});
+			fleet.at(1500, () => {
+				fleet.takeOver();
+			});
+			fleet.runUntil(10_000);
+			assert.deepEqual(fleet.checker.violations, [], `seed ${seed}`);
+			assert.deepEqual(fleet.unfinishedJobs, [], `seed ${seed}`);
+		}
+	});
+
 	it('guards against more orders than the link of a new owner bears, which all miss their time-outs', () => {
 		for (let seed = 1; seed <= 5; seed++) {
 			const fleet = new FleetModel({seed, configuration: createConfiguration(), workers: createWorkers(40)});
