Share the settings, bursts and movable workers that stood twice

Change: each has one copy; the options of the modelled fleet have a file of their own. No behaviour of the product changes.

--- a/packages/core/src/jobs/plan-moves.ts
+++ b/packages/core/src/jobs/plan-moves.ts
@@ -62,12 +62,7 @@
 	}
 
 	const timelyShortages = new Map([...pools.values()].map(pool => [pool.name, measureTimelyShortage(context, pool)]));
-	const isWorkerMovable = ({listing}: Worker): boolean => {
-		const instance = scheduler.instances.get(listing?.instance ?? '');
-		return instance !== undefined && isMovable(context, instance);
-	};
-
-	for (const drained of planDrains(context, {pools, shortages: timelyShortages, isMovable: isWorkerMovable})) {
+	for (const drained of planDrains(context, {pools, shortages: timelyShortages, isMovable: worker => isOnMovableInstance(context, worker)})) {
 		const instance = scheduler.instances.get(drained.instance);
 		if (instance !== undefined) {
 			requestMove(context, instance, drained.pool);
@@ -136,6 +131,11 @@
 		});
 }
 
+function isOnMovableInstance(context: ReducerContext, {listing}: Worker): boolean {
+	const instance = context.scheduler.instances.get(listing?.instance ?? '');
+	return instance !== undefined && isMovable(context, instance);
+}
+
 /** Idle workers that their pools can spare, longest idle first. */
 function listSurplusWorkers(context: ReducerContext, pools: ReadonlyMap<string, PoolLoad>): Worker[] {
 	const {scheduler, now} = context;
@@ -144,10 +144,7 @@
 	for (const pool of pools.values()) {
 		const idle = pool.workers
 			.filter(worker => worker.tasks.size === 0 && !worker.cordoned && worker.acknowledgedOwner && now - worker.idleSince > directMoveIdleMs)
-			.filter(({listing}) => {
-				const instance = scheduler.instances.get(listing?.instance ?? '');
-				return instance !== undefined && isMovable(context, instance);
-			})
+			.filter(worker => isOnMovableInstance(context, worker))
 			.toSorted((left, right) => left.idleSince - right.idleSince);
 		let surplus = pool.capacity - measureTarget(pool);
 		if (pool.unmetLongRunningNeeds > 0) {
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -10,6 +10,7 @@
 import {type Job} from '@rosemaryquay/core/jobs/job-schema';
 import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
 import {type ListedWorker, type Scheduler} from '@rosemaryquay/core/jobs/scheduler';
+import {type FleetOptions} from './fleet-options.js';
 import {InvariantChecker} from './invariant-checker.js';
 import {describeBehaviour} from './describe-behaviour.js';
 import {InstanceModel} from './instance-model.js';
@@ -18,7 +19,7 @@
 import {
 	callTimeoutMs, partsPerThousand, NetworkModel,
 } from './network-model.js';
-import {type TaskBehaviour, WorkerModel} from './worker-model.js';
+import {WorkerModel} from './worker-model.js';
 
 const tickIntervalMs = 40;
 /** Interval at which workers renew their entry in the store, which drops it after three missed heartbeats. */
@@ -26,15 +27,6 @@
 
 export type ModelledOwner = {readonly fence: number; readonly scheduler: Scheduler; isAlive: boolean; pausedUntil: number};
 
-type Options = {
-	seed: number;
-	configuration: Configuration;
-	workers: readonly ListedWorker[];
-	instances?: readonly ListedInstance[];
-	/** Behaviour of a task; by default it takes as long as estimated, and a long-running one runs until it is stopped. */
-	getBehaviour?: (task: string, job: Job) => Partial<TaskBehaviour>;
-};
-
 /**
  * Model of a fleet on virtual time: workers, a store and one owner of the schedule at a time, with fault injection between them.
  */
@@ -58,7 +50,7 @@
 	readonly #instances: InstanceModel;
 	#fence = 0;
 	readonly #random: RandomGenerator;
-	readonly #getBehaviour: NonNullable<Options['getBehaviour']>;
+	readonly #getBehaviour: NonNullable<FleetOptions['getBehaviour']>;
 	readonly #clock = new VirtualClock(now => {
 		this.#advance(now);
 	});
@@ -66,11 +58,7 @@
 	readonly #handlers: {[Type in SchedulerEffect['type']]: (effect: Extract<SchedulerEffect, {type: Type}>, owner: ModelledOwner) => void} = {
 		start: (effect, owner) => {
 			const {task, run, leaseUntilMs} = effect;
-			const job = this.#store.jobs.get(effect.job)?.job;
-			if (job === undefined) {
-				throw new Error(`Task ${task} was started, but job ${effect.job} was never submitted`);
-			}
-
+			const job = this.#store.getJob(effect.job);
 			this.#callWorker(effect, owner, model => model.start(this.now, {
 				fence: owner.fence, task, run, leaseUntilMs, behaviour: describeBehaviour(task, job, this.#getBehaviour(task, job)),
 			}));
@@ -170,7 +158,7 @@
 		},
 	};
 
-	constructor(options: Options) {
+	constructor(options: FleetOptions) {
 		const {seed, configuration, workers, instances = [], getBehaviour = () => ({})} = options;
 		this.#random = xoroshiro128plus(seed);
 		this.#configuration = configuration;
--- a/packages/testing/src/jobs/pools.test.ts
+++ b/packages/testing/src/jobs/pools.test.ts
@@ -56,29 +56,35 @@
 	return {fleet, onTimeFraction: measureOnTimeFraction(fleet, submitted, (1.6 * 640) + 600)};
 }
 
-/** Four pools of six workers; the demand on each in turn rises to about twice its capacity and falls again. */
-function simulateRisingBursts(options: {seed: number; hasSparePool: boolean}) {
-	const {seed, hasSparePool} = options;
-	const names = ['north', 'south', 'east', 'west'];
-	const periodMs = 6000;
-	const {fleet, submitted} = createFleet({seed, hasSparePool, names});
-	const endMs = names.length * periodMs;
-	const steps = [{count: 6, cpuMillis: 1700, estimatedMs: 640}, {
-		count: 3, cpuMillis: 1700, estimatedMs: 640, after: [0],
-	}];
-	for (let at = 3000; at < endMs;) {
-		const jobsPerMs = 0.002 + (0.024 * Math.sin(Math.PI * (at % periodMs) / periodMs));
-		at += Math.round(fleet.draw(50, 150) / 100 / jobsPerMs);
-		const service = names[Math.floor(at / periodMs) % names.length] ?? '';
+const risingPools = ['north', 'south', 'east', 'west'];
+const burstPeriodMs = 6000;
+
+/** Submits jobs to one pool after another; within the period of a pool, the rate of its jobs rises to a peak and falls again. */
+function submitRisingBursts({fleet, submitted}: {fleet: FleetModel; submitted: Array<{id: string; at: number}>}, load: {peakJobsPerMs: number; steps: NonNullable<Parameters<typeof createJob>[1]>['steps']}): void {
+	const {peakJobsPerMs, steps} = load;
+	for (let at = 3000; at < risingPools.length * burstPeriodMs;) {
+		const jobsPerMs = 0.002 + (peakJobsPerMs * Math.sin(Math.PI * (at % burstPeriodMs) / burstPeriodMs));
+		at += Math.max(1, Math.round(fleet.draw(50, 150) / 100 / jobsPerMs));
+		const service = risingPools[Math.floor(at / burstPeriodMs) % risingPools.length] ?? '';
 		const id = `${service}${at}`;
 		submitted.push({id, at});
 		fleet.at(at, () => {
 			fleet.submit(createJob(id, {
-				queue: service, service, acceptedAtMs: at, steps,
+				queue: service, service, acceptedAtMs: at, ...(steps !== undefined && {steps}),
 			}));
 		});
 	}
+}
 
+/** Four pools of six workers; the demand on each in turn rises to about twice its capacity and falls again. */
+function simulateRisingBursts(options: {seed: number; hasSparePool: boolean}) {
+	const {seed, hasSparePool} = options;
+	const {fleet, submitted} = createFleet({seed, hasSparePool, names: risingPools});
+	const endMs = risingPools.length * burstPeriodMs;
+	const steps = [{count: 6, cpuMillis: 1700, estimatedMs: 640}, {
+		count: 3, cpuMillis: 1700, estimatedMs: 640, after: [0],
+	}];
+	submitRisingBursts({fleet, submitted}, {peakJobsPerMs: 0.024, steps});
 	let instanceMs = 0;
 	const intervalMs = 100;
 	for (let at = 0; at < endMs + 10_000; at += intervalMs) {
@@ -106,25 +112,11 @@
 
 /** Four pools whose demand in turn rises far above the capacity of all instances together, so that many jobs become late. */
 function simulateOverload(seed: number) {
-	const names = ['north', 'south', 'east', 'west'];
-	const periodMs = 6000;
-	const {fleet, submitted} = createFleet({seed, hasSparePool: true, names});
+	const {fleet, submitted} = createFleet({seed, hasSparePool: true, names: risingPools});
 	const steps = [{count: 6, cpuMillis: 4000, estimatedMs: 640}];
-	for (let at = 3000; at < names.length * periodMs;) {
-		const jobsPerMs = 0.002 + (0.05 * Math.sin(Math.PI * (at % periodMs) / periodMs));
-		at += Math.max(1, Math.round(fleet.draw(50, 150) / 100 / jobsPerMs));
-		const service = names[Math.floor(at / periodMs) % names.length] ?? '';
-		const id = `${service}${at}`;
-		submitted.push({id, at});
-		fleet.at(at, () => {
-			fleet.submit(createJob(id, {
-				queue: service, service, acceptedAtMs: at, steps,
-			}));
-		});
-	}
-
-	fleet.runUntil((names.length * periodMs) + 5000);
-	const onTimeFractions = names.map(name => measureOnTimeFraction(fleet, submitted.filter(({id}) => id.startsWith(name)), (1.6 * 640) + 600));
+	submitRisingBursts({fleet, submitted}, {peakJobsPerMs: 0.05, steps});
+	fleet.runUntil((risingPools.length * burstPeriodMs) + 5000);
+	const onTimeFractions = risingPools.map(name => measureOnTimeFraction(fleet, submitted.filter(({id}) => id.startsWith(name)), (1.6 * 640) + 600));
 	return {fleet, onTimeFractions};
 }
 
--- a/packages/testing/src/jobs/stored-schedule.ts
+++ b/packages/testing/src/jobs/stored-schedule.ts
@@ -32,6 +32,22 @@
 		},
 	};
 
+	/**
+	 * Gets a submitted job.
+	 *
+	 * @param id - identifier of the job
+	 * @returns the job
+	 * @throws {Error} when the job was never submitted
+	 */
+	getJob(id: string): Job {
+		const stored = this.jobs.get(id);
+		if (stored === undefined) {
+			throw new Error(`Job ${id} was never submitted`);
+		}
+
+		return stored.job;
+	}
+
 	write(write: StoreWrite): void {
 		const handler = this.#handlers[write.type] as (write: StoreWrite) => void;
 		handler(write);
