Keep a worker cordoned when its drain ends during an upkeep

Cause: found in reading the change. When the drain of a worker for another pool ended while the worker was being drained for the upkeep of its instance, the worker got tasks again, which the upkeep would have ended.

Change: a drain ends when an upkeep begins, and leaves the worker cordoned.

--- a/packages/core/src/jobs/plan-drains.ts
+++ b/packages/core/src/jobs/plan-drains.ts
@@ -1,4 +1,5 @@
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
 import {measureTimelyNeed} from './measure-timely-need.js';
 import {type ReducerContext} from './reducer-context.js';
 import {type PoolLoad, type Task, type Worker} from './scheduler.js';
@@ -25,7 +26,7 @@
 	for (const {instance, pool, startedAt} of scheduler.drains.values()) {
 		const worker = findWorkerOfInstance(scheduler, instance);
 		const shortage = remaining.get(pool) ?? 0;
-		if (worker === undefined || shortage <= 0 || now - startedAt > drainTimeoutMs) {
+		if (worker === undefined || shortage <= 0 || now - startedAt > drainTimeoutMs || isUpkeepInProgress(scheduler, instance)) {
 			endDrain(context, instance, worker);
 			continue;
 		}
@@ -49,7 +50,7 @@
 function endDrain({scheduler}: ReducerContext, instance: string, worker: Worker | undefined): void {
 	scheduler.drains.delete(instance);
 	if (worker !== undefined) {
-		worker.cordoned = false;
+		worker.cordoned = isUpkeepInProgress(scheduler, instance);
 	}
 }
 
--- a/packages/core/src/jobs/plan-moves.ts
+++ b/packages/core/src/jobs/plan-moves.ts
@@ -1,6 +1,7 @@
 import {takeoverSettlingMs} from './constants.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 import {type ListedInstance} from './instance.js';
+import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
 import {measurePools} from './measure-pools.js';
 import {measureTimelyNeed} from './measure-timely-need.js';
 import {planDrains} from './plan-drains.js';
@@ -125,10 +126,7 @@
 	return instance.state === 'up'
 		&& !scheduler.moves.has(instance.id)
 		&& !scheduler.withdrawnZones.has(instance.availabilityZone)
-		&& ![...scheduler.waves.values()].some(({upkeeps}) => {
-			const state = upkeeps.get(instance.id)?.state;
-			return state !== undefined && state !== 'pending' && state !== 'done';
-		});
+		&& !isUpkeepInProgress(scheduler, instance.id);
 }
 
 function isOnMovableInstance(context: ReducerContext, {listing}: Worker): boolean {
