--- a/examples/quickstart/serve-jobs.js
+++ b/examples/quickstart/serve-jobs.js
@@ -37,7 +37,7 @@
 	const address = {host: '127.0.0.1', port: 0};
 	const fleet = new FleetProcess({
 		settings: {
-			instance, availabilityZone: 'east', callers: address, readiness: address, metrics: address, bounds,
+			instance, availabilityZone: 'east', callers: address, readiness: address, metrics: address, size: {cores: 1, linkMegabitsPerSecond: 1000}, bounds,
 		},
 		platform: createPlatform(addresses),
 		logger: createLogger({name: instance, level: 'warn', stream: process.stderr}),
