End only the incarnation that a move or an upkeep was ordered for

A move or an upkeep whose answer was lost is repeated, and accepted as well when the first order has been carried out. The owner then ended whatever worker it found on the instance: the one that had joined since, whose running tasks were started again elsewhere.

Change: the order keeps the incarnation that it was given for, and only that one is ended by its acceptance.

--- /dev/null
+++ b/packages/core/src/jobs/get-incarnation.ts
@@ -0,0 +1,14 @@
+import {type Incarnation} from './instance.js';
+import {type Worker} from './scheduler.js';
+
+/**
+ * Gets the current incarnation of a worker.
+ *
+ * @param worker - the worker, if there is one
+ * @returns its incarnation; undefined without a worker
+ * @example
+ * getIncarnation(findWorkerOfInstance(scheduler, 'm-1'));
+ */
+export function getIncarnation(worker: Worker | undefined): Incarnation | undefined {
+	return worker === undefined ? undefined : {worker: worker.id, startedAtMs: Math.max(worker.startedAtMs, worker.listing?.startedAtMs ?? 0)};
+}
--- a/packages/core/src/jobs/handle-move-answer.ts
+++ b/packages/core/src/jobs/handle-move-answer.ts
@@ -1,5 +1,7 @@
 import {endIncarnation} from './end-incarnation.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {getIncarnation} from './get-incarnation.js';
+import {isSameIncarnation} from './is-same-incarnation.js';
 import {type ReducerContext} from './reducer-context.js';
 
 /**
@@ -28,7 +30,8 @@
 	if (outcome === 'accepted') {
 		move.state = 'moving';
 		move.acceptedAt = now;
-		if (worker !== undefined) {
+		// A repeated order is accepted as well when the first one, whose answer was lost, has been carried out; another worker may run there by now.
+		if (worker !== undefined && isSameIncarnation(getIncarnation(worker), move.incarnation)) {
 			endIncarnation(context, worker, 'moved');
 		}
 
--- a/packages/core/src/jobs/handle-upkeep-answer.ts
+++ b/packages/core/src/jobs/handle-upkeep-answer.ts
@@ -1,5 +1,7 @@
 import {endIncarnation} from './end-incarnation.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {getIncarnation} from './get-incarnation.js';
+import {isSameIncarnation} from './is-same-incarnation.js';
 import {type ReducerContext} from './reducer-context.js';
 
 type Outcome = 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered';
@@ -33,7 +35,8 @@
 		upkeep.state = 'down';
 		upkeep.changedAt = now;
 		upkeep.acceptedAt = now;
-		if (worker !== undefined) {
+		// A repeated order is accepted as well when the first one, whose answer was lost, has been carried out; another worker may run there by now.
+		if (worker !== undefined && isSameIncarnation(getIncarnation(worker), upkeep.incarnation)) {
 			endIncarnation(context, worker, 'upkeep');
 		}
 
--- a/packages/core/src/jobs/instance.ts
+++ b/packages/core/src/jobs/instance.ts
@@ -23,6 +23,9 @@
 	readonly maximumDown: number;
 };
 
+/** One life of a worker. */
+export type Incarnation = {readonly worker: string; readonly startedAtMs: number};
+
 /**
  * Progress of the upkeep of an instance. `unconfirmed` means that the request was refused because the instance is not up,
  * which may be the effect of an earlier request whose answer was lost. `down` means that the request was accepted, or that
@@ -33,6 +36,8 @@
 export type Upkeep = {
 	readonly instance: string;
 	state: UpkeepState;
+	/** Incarnation that ran on the instance when the upkeep was first requested, and that the upkeep ends. */
+	incarnation: Incarnation | undefined;
 	changedAt: number;
 	/** Local time of acceptance; a list requested later that shows the instance up proves that the upkeep is over. */
 	acceptedAt: number;
@@ -42,6 +47,8 @@
 export type Move = {
 	readonly instance: string;
 	readonly pool: string;
+	/** Incarnation that ran on the instance when the move was first requested, and that the move ends. */
+	readonly incarnation: Incarnation | undefined;
 	state: 'requested' | 'moving';
 	requestedAt: number;
 	acceptedAt: number;
--- a/packages/core/src/jobs/plan-moves.ts
+++ b/packages/core/src/jobs/plan-moves.ts
@@ -1,5 +1,6 @@
 import {takeoverSettlingMs} from './constants.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {getIncarnation} from './get-incarnation.js';
 import {type ListedInstance} from './instance.js';
 import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
 import {measurePools} from './measure-pools.js';
@@ -186,7 +187,7 @@
 	}
 
 	scheduler.moves.set(instance.id, {
-		instance: instance.id, pool, state: 'requested', requestedAt: now, acceptedAt: 0,
+		instance: instance.id, pool, incarnation: getIncarnation(worker), state: 'requested', requestedAt: now, acceptedAt: 0,
 	});
 	context.effects.push({type: 'move', instance: instance.id, pool}, {
 		type: 'log', level: 'info', event: 'move-asked', fields: {
