--- a/packages/cli/src/fleet/commands/catalogue.ts
+++ b/packages/cli/src/fleet/commands/catalogue.ts
@@ -1,4 +1,4 @@
-import {type Configuration} from '@rosemaryquay/core/jobs/configuration-schema';
+import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
 import {formatSection} from '../format-section.js';
 import {exitCodes, type CommandOutput, PlatformCommand} from '../platform-command.js';
--- a/packages/cli/src/fleet/commands/jobs.ts
+++ b/packages/cli/src/fleet/commands/jobs.ts
@@ -1,5 +1,5 @@
 import {Option} from 'clipanion';
-import {type EndedJob} from '@rosemaryquay/core/jobs/job-schema';
+import {type EndedJob} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
 import {type UnfinishedJob} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
 import {describeWait} from '../describe-wait.js';
--- a/packages/cli/src/fleet/describe-wait.test.ts
+++ b/packages/cli/src/fleet/describe-wait.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {configurationSchema} from '@rosemaryquay/core/jobs/configuration-schema';
-import {jobSchema} from '@rosemaryquay/core/jobs/job-schema';
+import {configurationSchema} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {jobSchema} from '@rosemaryquay/core/jobs/state/job-schema';
 import {describeWait} from './describe-wait.js';
 
 const configuration = configurationSchema.parse({
--- a/packages/cli/src/fleet/describe-wait.ts
+++ b/packages/cli/src/fleet/describe-wait.ts
@@ -1,5 +1,5 @@
-import {type Configuration} from '@rosemaryquay/core/jobs/configuration-schema';
-import {type EndedJob} from '@rosemaryquay/core/jobs/job-schema';
+import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type EndedJob} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type UnfinishedJob} from '@rosemaryquay/daemon/jobs/decode-unfinished-jobs';
 
 /** A job as read from the store. Of an ended job, the store keeps only its end. */
--- a/packages/core/src/jobs/clear-suspicion.ts
+++ b/packages/core/src/jobs/crashes/clear-suspicion.ts
@@ -1,5 +1,5 @@
-import {type TaskGroup} from './scheduler.js';
-import {type ReducerContext} from './reducer-context.js';
+import {type TaskGroup} from '../state/scheduler.js';
+import {type ReducerContext} from '../state/reducer-context.js';
 
 /**
  * Clears the suspicion of the tasks of a step when one of them is done after a run in isolation. The tasks of a step are
--- a/packages/core/src/jobs/count-crash.ts
+++ b/packages/core/src/jobs/crashes/count-crash.ts
@@ -1,10 +1,10 @@
 import {
 	crashLimit, gangCrashLimit, suspicionLimit, unconfirmedCrashLimit,
-} from './constants.js';
-import {giveUpTask} from './give-up-task.js';
+} from '../state/constants.js';
+import {giveUpTask} from '../runs/give-up-task.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type LostRun} from '../state/scheduler.js';
 import {listStoredCrashes} from './list-stored-crashes.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type LostRun} from './scheduler.js';
 
 /**
  * Counts the crash of a worker for a run that it had. The job fails if its task has crashed workers on which it ran in
--- a/packages/core/src/jobs/describe-lost-runs.ts
+++ b/packages/core/src/jobs/crashes/describe-lost-runs.ts
@@ -1,5 +1,5 @@
+import {type LostRun, type Task, type Worker} from '../state/scheduler.js';
 import {isHarmless} from './is-harmless.js';
-import {type LostRun, type Task, type Worker} from './scheduler.js';
 
 /** Runs that were started within this time before the last start on a worker count as its last ones, in milliseconds. */
 const recentStartMs = 300;
--- a/packages/core/src/jobs/dismiss-loss.ts
+++ b/packages/core/src/jobs/crashes/dismiss-loss.ts
@@ -1,4 +1,4 @@
-import {type Worker} from './scheduler.js';
+import {type Worker} from '../state/scheduler.js';
 
 /**
  * Dismisses the suspicion of a crash when the incarnation of a worker whose lease had expired answers again.
--- a/packages/core/src/jobs/forget-crashes.ts
+++ b/packages/core/src/jobs/crashes/forget-crashes.ts
@@ -1,5 +1,5 @@
-import {type ReducerContext} from './reducer-context.js';
-import {type TaskGroup} from './scheduler.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type TaskGroup} from '../state/scheduler.js';
 
 /**
  * Forgets the crashes under a task group, which has shown since that it does not crash its worker.
--- a/packages/core/src/jobs/is-harmless.ts
+++ b/packages/core/src/jobs/crashes/is-harmless.ts
@@ -1,5 +1,5 @@
-import {isolationMs} from './constants.js';
-import {type Task} from './scheduler.js';
+import {isolationMs} from '../state/constants.js';
+import {type Task} from '../state/scheduler.js';
 
 /**
  * Tells whether a long-running task has been up for so long that it does not count as the cause of a crash of its worker.
--- a/packages/core/src/jobs/is-isolated.ts
+++ b/packages/core/src/jobs/crashes/is-isolated.ts
@@ -1,5 +1,5 @@
-import {isolationMs} from './constants.js';
-import {type Task} from './scheduler.js';
+import {isolationMs} from '../state/constants.js';
+import {type Task} from '../state/scheduler.js';
 
 /**
  * Tells whether a task runs in isolation, so that nothing else may be started on its worker.
--- a/packages/core/src/jobs/list-stored-crashes.ts
+++ b/packages/core/src/jobs/crashes/list-stored-crashes.ts
@@ -1,4 +1,4 @@
-import {type TaskGroup} from './scheduler.js';
+import {type TaskGroup} from '../state/scheduler.js';
 
 /**
  * Lists the runs under which crashes are stored for the next owner. They include a present run in isolation, since the
--- a/packages/core/src/jobs/record-loss.ts
+++ b/packages/core/src/jobs/crashes/record-loss.ts
@@ -1,9 +1,9 @@
-import {explanationWaitMs} from './constants.js';
-import {countCrash} from './count-crash.js';
+import {explanationWaitMs} from '../state/constants.js';
+import {isPlannedEnd} from '../runs/is-planned-end.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 import {describeLostRuns} from './describe-lost-runs.js';
-import {isPlannedEnd} from './is-planned-end.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Worker} from './scheduler.js';
+import {countCrash} from './count-crash.js';
 
 /** Maximum number of runs in a log line. */
 const maximumLoggedRuns = 20;
--- a/packages/core/src/jobs/estimate-critical-path.ts
+++ b/packages/core/src/jobs/estimates/estimate-critical-path.ts
@@ -1,4 +1,4 @@
-import {type Step} from './job-schema.js';
+import {type Step} from '../state/job-schema.js';
 
 /**
  * Estimates the length of the critical path through the steps of a job.
--- a/packages/core/src/jobs/is-within-limit.ts
+++ b/packages/core/src/jobs/order/is-within-limit.ts
@@ -1,6 +1,6 @@
-import {addResources} from './add-resources.js';
-import {type Resources} from './configuration-schema.js';
-import {type ActiveJob, type Scheduler} from './scheduler.js';
+import {addResources} from '../placement/add-resources.js';
+import {type Resources} from '../state/configuration-schema.js';
+import {type ActiveJob, type Scheduler} from '../state/scheduler.js';
 
 const nothing: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
 
--- a/packages/core/src/jobs/measure-unreconciled-usage.ts
+++ b/packages/core/src/jobs/order/measure-unreconciled-usage.ts
@@ -1,8 +1,8 @@
-import {addResources} from './add-resources.js';
-import {type Resources} from './configuration-schema.js';
-import {isStepReady} from './is-step-ready.js';
-import {getReservedResources} from './get-reserved-resources.js';
-import {type ActiveJob, type Scheduler} from './scheduler.js';
+import {addResources} from '../placement/add-resources.js';
+import {type Resources} from '../state/configuration-schema.js';
+import {isStepReady} from '../state/is-step-ready.js';
+import {getReservedResources} from '../placement/get-reserved-resources.js';
+import {type ActiveJob, type Scheduler} from '../state/scheduler.js';
 
 const nothing: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
 
--- a/packages/core/src/jobs/rank-job.ts
+++ b/packages/core/src/jobs/order/rank-job.ts
@@ -1,6 +1,6 @@
-import {estimateCriticalPath} from './estimate-critical-path.js';
-import {findQueuePolicy} from './find-queue-policy.js';
-import {type ActiveJob, type Scheduler} from './scheduler.js';
+import {estimateCriticalPath} from '../estimates/estimate-critical-path.js';
+import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {type ActiveJob, type Scheduler} from '../state/scheduler.js';
 
 /**
  * Sort key of a job in the order of placement; compared from left to right, lower values first.
--- a/packages/core/src/jobs/add-resources.ts
+++ b/packages/core/src/jobs/placement/add-resources.ts
@@ -1,4 +1,4 @@
-import {type Resources} from './configuration-schema.js';
+import {type Resources} from '../state/configuration-schema.js';
 
 /**
  * Adds resources, or subtracts them with a negative factor.
--- a/packages/core/src/jobs/choose-workers.ts
+++ b/packages/core/src/jobs/placement/choose-workers.ts
@@ -1,9 +1,9 @@
+import {type Resources} from '../state/configuration-schema.js';
+import {staleWorkerMs} from '../state/constants.js';
+import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
 import {addResources} from './add-resources.js';
-import {type Resources} from './configuration-schema.js';
-import {staleWorkerMs} from './constants.js';
 import {fitsInto} from './fits-into.js';
 import {getReservedResources} from './get-reserved-resources.js';
-import {type StepState, type TaskGroup, type Worker} from './scheduler.js';
 
 /**
  * Chooses a worker for each task of a group. Prefers the rack that holds the data, or one rack for all tasks, where the
--- a/packages/core/src/jobs/ensure-tickets.ts
+++ b/packages/core/src/jobs/placement/ensure-tickets.ts
@@ -1,7 +1,7 @@
-import {maximumTicketCandidates} from './constants.js';
-import {findQueuePolicy} from './find-queue-policy.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type StepState, type Worker} from './scheduler.js';
+import {maximumTicketCandidates} from '../state/constants.js';
+import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type StepState, type Worker} from '../state/scheduler.js';
 
 /** Time after which an unanswered request is repeated; the service that issues tickets handles one call at a time for each instance. */
 const ticketTimeoutMs = 5000;
--- a/packages/core/src/jobs/fits-into.ts
+++ b/packages/core/src/jobs/placement/fits-into.ts
@@ -1,4 +1,4 @@
-import {type Resources} from './configuration-schema.js';
+import {type Resources} from '../state/configuration-schema.js';
 
 /**
  * Tells whether needed resources fit into the available ones in every dimension.
--- a/packages/core/src/jobs/get-reserved-resources.ts
+++ b/packages/core/src/jobs/placement/get-reserved-resources.ts
@@ -1,5 +1,5 @@
-import {type Resources} from './configuration-schema.js';
-import {type Step} from './job-schema.js';
+import {type Resources} from '../state/configuration-schema.js';
+import {type Step} from '../state/job-schema.js';
 
 /**
  * Gets the resources that a task reserves on its worker. A best-effort task reserves no cores.
--- a/packages/core/src/jobs/handle-tickets.ts
+++ b/packages/core/src/jobs/placement/handle-tickets.ts
@@ -1,4 +1,4 @@
-import {type ReducerContext} from './reducer-context.js';
+import {type ReducerContext} from '../state/reducer-context.js';
 
 /** Fraction of their validity for which tickets are used, so that a start order arrives before they expire. */
 const usableTicketFraction = 0.8;
--- a/packages/core/src/jobs/list-schedulable-workers.test.ts
+++ b/packages/core/src/jobs/placement/list-schedulable-workers.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {configurationSchema} from './configuration-schema.js';
-import {createScheduler} from './create-scheduler.js';
-import {type SchedulerEvent} from './event.js';
+import {configurationSchema} from '../state/configuration-schema.js';
+import {createScheduler} from '../state/create-scheduler.js';
+import {type SchedulerEvent} from '../state/event.js';
+import {reduceScheduler} from '../state/reduce-scheduler.js';
 import {listSchedulableWorkers} from './list-schedulable-workers.js';
-import {reduceScheduler} from './reduce-scheduler.js';
 
 const configuration = configurationSchema.parse({
 	version: 1, queues: [], pools: [{name: 'planner'}], organisations: [], maximumBodyBytes: 1000,
--- a/packages/core/src/jobs/list-schedulable-workers.ts
+++ b/packages/core/src/jobs/placement/list-schedulable-workers.ts
@@ -1,6 +1,6 @@
-import {failureThreshold} from './constants.js';
-import {isIsolated} from './is-isolated.js';
-import {type Scheduler, type Worker} from './scheduler.js';
+import {failureThreshold} from '../state/constants.js';
+import {isIsolated} from '../crashes/is-isolated.js';
+import {type Scheduler, type Worker} from '../state/scheduler.js';
 
 /**
  * Lists the workers of each service that may get new tasks.
--- a/packages/core/src/jobs/measure-dominant-resource.ts
+++ b/packages/core/src/jobs/placement/measure-dominant-resource.ts
@@ -1,4 +1,4 @@
-import {type Resources} from './configuration-schema.js';
+import {type Resources} from '../state/configuration-schema.js';
 
 /**
  * Measures resources by their dominant share of the capacity, expressed in thousandths of a core. A task that uses a
--- a/packages/core/src/jobs/place-group.ts
+++ b/packages/core/src/jobs/placement/place-group.ts
@@ -1,11 +1,11 @@
-import {addResources} from './add-resources.js';
-import {assignTask} from './assign-task.js';
-import {chooseWorkers} from './choose-workers.js';
+import {assignTask} from '../runs/assign-task.js';
+import {isWithinLimit} from '../order/is-within-limit.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
+import {sendStart} from '../runs/send-start.js';
 import {getReservedResources} from './get-reserved-resources.js';
-import {isWithinLimit} from './is-within-limit.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type StepState, type TaskGroup, type Worker} from './scheduler.js';
-import {sendStart} from './send-start.js';
+import {chooseWorkers} from './choose-workers.js';
+import {addResources} from './add-resources.js';
 
 /** Size of the range of run numbers of each owner. The range starts at (term - 1) * 1000 + 1, so that run numbers exceed those of earlier owners, whose runs need not be known. */
 const runsPerTerm = 1000;
--- a/packages/core/src/jobs/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -1,20 +1,20 @@
-import {unconfirmedCrashLimit} from './constants.js';
-import {ensureTickets} from './ensure-tickets.js';
-import {addResources} from './add-resources.js';
-import {findQueuePolicy} from './find-queue-policy.js';
-import {fitsInto} from './fits-into.js';
-import {getReservedResources} from './get-reserved-resources.js';
-import {giveUpTask} from './give-up-task.js';
-import {isHarmless} from './is-harmless.js';
-import {isIsolated} from './is-isolated.js';
-import {isStepReady} from './is-step-ready.js';
-import {isUnassigned} from './is-unassigned.js';
-import {isWithinLimit} from './is-within-limit.js';
-import {placeGroup} from './place-group.js';
-import {type ReducerContext} from './reducer-context.js';
+import {unconfirmedCrashLimit} from '../state/constants.js';
+import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {giveUpTask} from '../runs/give-up-task.js';
+import {isHarmless} from '../crashes/is-harmless.js';
+import {isIsolated} from '../crashes/is-isolated.js';
+import {isStepReady} from '../state/is-step-ready.js';
+import {isUnassigned} from '../state/is-unassigned.js';
+import {isWithinLimit} from '../order/is-within-limit.js';
+import {type ReducerContext} from '../state/reducer-context.js';
 import {
 	type ActiveJob, type Scheduler, type StepState, type TaskGroup, type Worker,
-} from './scheduler.js';
+} from '../state/scheduler.js';
+import {placeGroup} from './place-group.js';
+import {getReservedResources} from './get-reserved-resources.js';
+import {fitsInto} from './fits-into.js';
+import {addResources} from './add-resources.js';
+import {ensureTickets} from './ensure-tickets.js';
 
 /** Number of start orders that may still be sent in this round. */
 export type OrderBudget = {orders: number};
--- a/packages/core/src/jobs/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -1,21 +1,21 @@
-import {countOpenOrders} from './count-open-orders.js';
-import {ensureTickets} from './ensure-tickets.js';
-import {compareRanks} from './compare-ranks.js';
-import {type Resources} from './configuration-schema.js';
-import {maximumPlacementFailures} from './constants.js';
-import {findQueuePolicy} from './find-queue-policy.js';
-import {isStepReady} from './is-step-ready.js';
-import {isUnassigned} from './is-unassigned.js';
-import {listSchedulableWorkers} from './list-schedulable-workers.js';
-import {measureUnreconciledUsage} from './measure-unreconciled-usage.js';
-import {placeGroup} from './place-group.js';
-import {type OrderBudget, placeIsolatedGroups} from './place-isolated-groups.js';
-import {type ReducerContext} from './reducer-context.js';
-import {rankJob} from './rank-job.js';
-import {reserveWorker} from './reserve-worker.js';
+import {countOpenOrders} from '../runs/count-open-orders.js';
+import {compareRanks} from '../order/compare-ranks.js';
+import {type Resources} from '../state/configuration-schema.js';
+import {maximumPlacementFailures} from '../state/constants.js';
+import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {isStepReady} from '../state/is-step-ready.js';
+import {isUnassigned} from '../state/is-unassigned.js';
+import {measureUnreconciledUsage} from '../order/measure-unreconciled-usage.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {rankJob} from '../order/rank-job.js';
 import {
 	type ActiveJob, type Task, type Scheduler, type StepState, type TaskGroup, type Worker,
-} from './scheduler.js';
+} from '../state/scheduler.js';
+import {reserveWorker} from './reserve-worker.js';
+import {type OrderBudget, placeIsolatedGroups} from './place-isolated-groups.js';
+import {placeGroup} from './place-group.js';
+import {listSchedulableWorkers} from './list-schedulable-workers.js';
+import {ensureTickets} from './ensure-tickets.js';
 
 /** Maximum number of workers in a log line. */
 const maximumLoggedWorkers = 4;
--- a/packages/core/src/jobs/relocate-task.ts
+++ b/packages/core/src/jobs/placement/relocate-task.ts
@@ -1,10 +1,10 @@
-import {chooseWorkers} from './choose-workers.js';
-import {reportWaitMs} from './constants.js';
-import {findQueuePolicy} from './find-queue-policy.js';
+import {reportWaitMs} from '../state/constants.js';
+import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Task, type StepState, type TaskGroup} from '../state/scheduler.js';
+import {stopTask} from '../runs/stop-task.js';
 import {listSchedulableWorkers} from './list-schedulable-workers.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Task, type StepState, type TaskGroup} from './scheduler.js';
-import {stopTask} from './stop-task.js';
+import {chooseWorkers} from './choose-workers.js';
 
 /** Time without an answer after which a worker may be unreachable: three report intervals. */
 const reportTimeoutMs = 3 * reportWaitMs;
--- a/packages/core/src/jobs/reserve-worker.ts
+++ b/packages/core/src/jobs/placement/reserve-worker.ts
@@ -1,9 +1,9 @@
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type TaskGroup, type Worker} from '../state/scheduler.js';
+import {stopTask} from '../runs/stop-task.js';
 import {addResources} from './add-resources.js';
 import {fitsInto} from './fits-into.js';
 import {getReservedResources} from './get-reserved-resources.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type TaskGroup, type Worker} from './scheduler.js';
-import {stopTask} from './stop-task.js';
 
 /** Time for which a long-running task waits before other tasks are preempted for it; the platform requires it to be running again within 6 s. */
 const preemptionDelayMs = 1500;
--- a/packages/core/src/jobs/throttle-best-effort-tasks.ts
+++ b/packages/core/src/jobs/placement/throttle-best-effort-tasks.ts
@@ -1,9 +1,9 @@
 import {
 	slowdownThreshold, speedChangeIntervalMs, speedupThreshold, speedupStepPercent,
-} from './constants.js';
-import {type RunningTask} from './event.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Worker} from './scheduler.js';
+} from '../state/constants.js';
+import {type RunningTask} from '../state/event.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 
 /** A best-effort task below this speed is paused, since halving its speed further has no effect. */
 const minimumSpeedPercent = 10;
--- a/packages/core/src/jobs/find-worker-of-instance.ts
+++ b/packages/core/src/jobs/pools/find-worker-of-instance.ts
@@ -1,4 +1,4 @@
-import {type Scheduler, type Worker} from './scheduler.js';
+import {type Scheduler, type Worker} from '../state/scheduler.js';
 
 /**
  * Finds the worker that runs on an instance.
--- a/packages/core/src/jobs/forecast-demand.test.ts
+++ b/packages/core/src/jobs/pools/forecast-demand.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {type Demand} from '../state/scheduler.js';
 import {forecastDemand} from './forecast-demand.js';
-import {type Demand} from './scheduler.js';
 
 /** Forecasts from a series of demands 150 ms apart. */
 function forecastSeries(demands: readonly number[], arrivals = 10): Demand | undefined {
--- a/packages/core/src/jobs/forecast-demand.ts
+++ b/packages/core/src/jobs/pools/forecast-demand.ts
@@ -1,4 +1,4 @@
-import {type Demand} from './scheduler.js';
+import {type Demand} from '../state/scheduler.js';
 
 /** Time constant of the exponential smoothing; for a steady trend, the demand exceeds its smoothed value by the rise within this time. */
 const smoothingMs = 1000;
--- a/packages/core/src/jobs/handle-instances.ts
+++ b/packages/core/src/jobs/pools/handle-instances.ts
@@ -1,10 +1,10 @@
-import {idleInstanceListIntervalMs, instanceListIntervalMs, takeoverSettlingMs} from './constants.js';
-import {endIncarnation} from './end-incarnation.js';
+import {idleInstanceListIntervalMs, instanceListIntervalMs, takeoverSettlingMs} from '../state/constants.js';
+import {endIncarnation} from '../runs/end-incarnation.js';
+import {type ListedInstance, type Upkeep, type Wave} from '../state/instance.js';
+import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Scheduler, type Worker} from '../state/scheduler.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
-import {type ListedInstance, type Upkeep, type Wave} from './instance.js';
-import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Scheduler, type Worker} from './scheduler.js';
 
 /**
  * Processes the list of instances. A worker that has neither answered nor got a new entry in the store since the list was
--- a/packages/core/src/jobs/handle-move-answer.ts
+++ b/packages/core/src/jobs/pools/handle-move-answer.ts
@@ -1,8 +1,8 @@
-import {endIncarnation} from './end-incarnation.js';
+import {endIncarnation} from '../runs/end-incarnation.js';
+import {getIncarnation} from '../runs/get-incarnation.js';
+import {isSameIncarnation} from '../runs/is-same-incarnation.js';
+import {type ReducerContext} from '../state/reducer-context.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
-import {getIncarnation} from './get-incarnation.js';
-import {isSameIncarnation} from './is-same-incarnation.js';
-import {type ReducerContext} from './reducer-context.js';
 
 /**
  * Processes the answer to a request to move an instance. An unanswered request stays pending and is repeated, since it
--- a/packages/core/src/jobs/log-pool-loads.ts
+++ b/packages/core/src/jobs/pools/log-pool-loads.ts
@@ -1,11 +1,11 @@
-import {addResources} from './add-resources.js';
-import {findQueuePolicy} from './find-queue-policy.js';
-import {isStepReady} from './is-step-ready.js';
-import {getReservedResources} from './get-reserved-resources.js';
-import {isWithinLimit} from './is-within-limit.js';
-import {listSchedulableWorkers} from './list-schedulable-workers.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type ActiveJob} from './scheduler.js';
+import {addResources} from '../placement/add-resources.js';
+import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {isStepReady} from '../state/is-step-ready.js';
+import {getReservedResources} from '../placement/get-reserved-resources.js';
+import {isWithinLimit} from '../order/is-within-limit.js';
+import {listSchedulableWorkers} from '../placement/list-schedulable-workers.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type ActiveJob} from '../state/scheduler.js';
 
 type WaitingWork = {tasks: number; jobs: number; jobsAtLimit: number};
 
--- a/packages/core/src/jobs/measure-arriving-demand.ts
+++ b/packages/core/src/jobs/pools/measure-arriving-demand.ts
@@ -1,4 +1,4 @@
-import {type ActiveJob} from './scheduler.js';
+import {type ActiveJob} from '../state/scheduler.js';
 
 /** Shortest window over which the work of an arriving job is averaged; a longer one detects bursts late, a shorter one treats single jobs as bursts. */
 const minimumWindowMs = 600;
--- a/packages/core/src/jobs/measure-pools.ts
+++ b/packages/core/src/jobs/pools/measure-pools.ts
@@ -1,13 +1,13 @@
-import {findQueuePolicy} from './find-queue-policy.js';
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
-import {forecastDemand} from './forecast-demand.js';
-import {isStepReady} from './is-step-ready.js';
+import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {isStepReady} from '../state/is-step-ready.js';
+import {measureDominantResource} from '../placement/measure-dominant-resource.js';
+import {getReservedResources} from '../placement/get-reserved-resources.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {rankJob} from '../order/rank-job.js';
+import {type PoolLoad, type StepState, type Worker} from '../state/scheduler.js';
 import {measureArrivingDemand} from './measure-arriving-demand.js';
-import {measureDominantResource} from './measure-dominant-resource.js';
-import {getReservedResources} from './get-reserved-resources.js';
-import {type ReducerContext} from './reducer-context.js';
-import {rankJob} from './rank-job.js';
-import {type PoolLoad, type StepState, type Worker} from './scheduler.js';
+import {forecastDemand} from './forecast-demand.js';
+import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
 /** Time within which the ready tasks of a pool should be done; if its capacity does not suffice, more instances are requested, which take longer than that to arrive. */
 const backlogTargetMs = 700;
--- a/packages/core/src/jobs/measure-timely-need.ts
+++ b/packages/core/src/jobs/pools/measure-timely-need.ts
@@ -1,4 +1,4 @@
-import {type PoolLoad} from './scheduler.js';
+import {type PoolLoad} from '../state/scheduler.js';
 
 /**
  * Measures what a pool needs for its long-running tasks and for the jobs that can still meet their latency objective.
--- a/packages/core/src/jobs/plan-drains.test.ts
+++ b/packages/core/src/jobs/pools/plan-drains.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {configurationSchema} from './configuration-schema.js';
-import {createScheduler} from './create-scheduler.js';
-import {type SchedulerEffect} from './effect.js';
-import {type UpkeepState} from './instance.js';
+import {configurationSchema} from '../state/configuration-schema.js';
+import {createScheduler} from '../state/create-scheduler.js';
+import {type SchedulerEffect} from '../state/effect.js';
+import {type UpkeepState} from '../state/instance.js';
+import {reduceScheduler} from '../state/reduce-scheduler.js';
+import {type PoolLoad} from '../state/scheduler.js';
 import {planDrains} from './plan-drains.js';
-import {reduceScheduler} from './reduce-scheduler.js';
-import {type PoolLoad} from './scheduler.js';
 
 const capacity = {cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0};
 const configuration = configurationSchema.parse({
--- a/packages/core/src/jobs/plan-drains.ts
+++ b/packages/core/src/jobs/pools/plan-drains.ts
@@ -1,8 +1,8 @@
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
-import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
+import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type PoolLoad, type Task, type Worker} from '../state/scheduler.js';
 import {measureTimelyNeed} from './measure-timely-need.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type PoolLoad, type Task, type Worker} from './scheduler.js';
+import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
 /** Longest time that a worker is drained for another pool. Its tasks are expected to end sooner; otherwise their estimates were wrong. */
 const drainTimeoutMs = 4000;
--- a/packages/core/src/jobs/plan-moves.ts
+++ b/packages/core/src/jobs/pools/plan-moves.ts
@@ -1,13 +1,13 @@
-import {takeoverSettlingMs} from './constants.js';
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
-import {getIncarnation} from './get-incarnation.js';
-import {type ListedInstance} from './instance.js';
-import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
-import {measurePools} from './measure-pools.js';
-import {measureTimelyNeed} from './measure-timely-need.js';
+import {takeoverSettlingMs} from '../state/constants.js';
+import {getIncarnation} from '../runs/get-incarnation.js';
+import {type ListedInstance} from '../state/instance.js';
+import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type PoolLoad, type Worker} from '../state/scheduler.js';
 import {planDrains} from './plan-drains.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type PoolLoad, type Worker} from './scheduler.js';
+import {measureTimelyNeed} from './measure-timely-need.js';
+import {measurePools} from './measure-pools.js';
+import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
 /** Interval between two plans; a move takes more than a second. */
 const planIntervalMs = 150;
--- a/packages/core/src/jobs/adjust-order-window.ts
+++ b/packages/core/src/jobs/runs/adjust-order-window.ts
@@ -1,4 +1,4 @@
-import {type OrderOutcome} from './event.js';
+import {type OrderOutcome} from '../state/event.js';
 import {type OrderWindow} from './order-window.js';
 
 const minimumOrderWindow = 8;
--- a/packages/core/src/jobs/assign-task.ts
+++ b/packages/core/src/jobs/runs/assign-task.ts
@@ -1,8 +1,8 @@
-import {addResources} from './add-resources.js';
-import {getReservedResources} from './get-reserved-resources.js';
+import {addResources} from '../placement/add-resources.js';
+import {getReservedResources} from '../placement/get-reserved-resources.js';
 import {
 	type Task, type TaskState, type Scheduler, type Worker,
-} from './scheduler.js';
+} from '../state/scheduler.js';
 
 /**
  * Assigns a task to a worker, and adds its resources to the usage of the worker and of the organisation.
--- a/packages/core/src/jobs/count-open-orders.ts
+++ b/packages/core/src/jobs/runs/count-open-orders.ts
@@ -1,4 +1,4 @@
-import {type Scheduler} from './scheduler.js';
+import {type Scheduler} from '../state/scheduler.js';
 
 /**
  * Counts the start orders that are unanswered. Orders to unresponsive workers do not count: they occupy neither the link
--- a/packages/core/src/jobs/end-called-incarnation.ts
+++ b/packages/core/src/jobs/runs/end-called-incarnation.ts
@@ -1,6 +1,6 @@
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 import {endIncarnation} from './end-incarnation.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Worker} from './scheduler.js';
 
 /**
  * Ends the incarnation of a worker that a call went to, since another worker has answered at its address. A call that went
--- a/packages/core/src/jobs/end-incarnation.ts
+++ b/packages/core/src/jobs/runs/end-incarnation.ts
@@ -1,6 +1,6 @@
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 import {releaseLostTasks} from './release-lost-tasks.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Worker} from './scheduler.js';
 
 /**
  * Records that the current incarnation of a worker has definitely ended, although the store may still list it for a while.
--- a/packages/core/src/jobs/extend-lease.test.ts
+++ b/packages/core/src/jobs/runs/extend-lease.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {slowestClockRate} from './constants.js';
-import {createWorker} from './create-worker.js';
+import {slowestClockRate} from '../state/constants.js';
+import {createWorker} from '../state/create-worker.js';
 import {extendLease} from './extend-lease.js';
 
 const createReadWorker = () => ({...createWorker({id: 'w1', address: '10.0.0.1:80', now: 0}), clockMs: 1000, clockReadAt: 50});
--- a/packages/core/src/jobs/extend-lease.ts
+++ b/packages/core/src/jobs/runs/extend-lease.ts
@@ -1,5 +1,5 @@
-import {slowestClockRate} from './constants.js';
-import {type Worker} from './scheduler.js';
+import {slowestClockRate} from '../state/constants.js';
+import {type Worker} from '../state/scheduler.js';
 
 /**
  * Computes the expiry of a new lease on the worker's clock and records it. The worker keeps the latest expiry that it was
--- a/packages/core/src/jobs/find-acknowledgeable-end.ts
+++ b/packages/core/src/jobs/runs/find-acknowledgeable-end.ts
@@ -1,4 +1,4 @@
-import {type Worker} from './scheduler.js';
+import {type Worker} from '../state/scheduler.js';
 
 /**
  * Finds the last end of a worker that may be acknowledged once it is stored. An end of a done task stays unacknowledged
--- a/packages/core/src/jobs/find-lease-expiry.ts
+++ b/packages/core/src/jobs/runs/find-lease-expiry.ts
@@ -1,5 +1,5 @@
-import {leaseSlackMs, slowestClockRate} from './constants.js';
-import {type Worker} from './scheduler.js';
+import {leaseSlackMs, slowestClockRate} from '../state/constants.js';
+import {type Worker} from '../state/scheduler.js';
 
 /**
  * Finds the local time from which all tasks that a worker ran under its last lease have definitely ended.
--- a/packages/core/src/jobs/get-incarnation.ts
+++ b/packages/core/src/jobs/runs/get-incarnation.ts
@@ -1,5 +1,5 @@
-import {type Incarnation} from './instance.js';
-import {type Worker} from './scheduler.js';
+import {type Incarnation} from '../state/instance.js';
+import {type Worker} from '../state/scheduler.js';
 
 /**
  * Gets the current incarnation of a worker.
--- a/packages/core/src/jobs/give-up-task.ts
+++ b/packages/core/src/jobs/runs/give-up-task.ts
@@ -1,6 +1,6 @@
-import {failJob} from './fail-job.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type TaskGroup} from './scheduler.js';
+import {failJob} from '../state/fail-job.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type TaskGroup} from '../state/scheduler.js';
 
 /**
  * Gives up a task that crashes its workers. Its job fails.
--- a/packages/core/src/jobs/handle-report.ts
+++ b/packages/core/src/jobs/runs/handle-report.ts
@@ -1,14 +1,14 @@
-import {type RunningTask, type WorkerReport} from './event.js';
-import {dismissLoss} from './dismiss-loss.js';
-import {throttleBestEffortTasks} from './throttle-best-effort-tasks.js';
+import {type RunningTask, type WorkerReport} from '../state/event.js';
+import {dismissLoss} from '../crashes/dismiss-loss.js';
+import {throttleBestEffortTasks} from '../placement/throttle-best-effort-tasks.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {maximumReportedEnds} from '../state/constants.js';
+import {openReportedOccurrences} from '../state/open-reported-occurrences.js';
+import {type Task, type Worker} from '../state/scheduler.js';
 import {assignTask} from './assign-task.js';
-import {type ReducerContext} from './reducer-context.js';
-import {maximumReportedEnds} from './constants.js';
 import {handleTaskEnd} from './handle-task-end.js';
 import {handleWorkerRestart} from './handle-worker-restart.js';
-import {openReportedOccurrences} from './open-reported-occurrences.js';
 import {releaseTask} from './release-task.js';
-import {type Task, type Worker} from './scheduler.js';
 import {stopTask} from './stop-task.js';
 
 /**
--- a/packages/core/src/jobs/handle-start-answer.test.ts
+++ b/packages/core/src/jobs/runs/handle-start-answer.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {configurationSchema} from './configuration-schema.js';
-import {createScheduler} from './create-scheduler.js';
-import {type SchedulerEffect} from './effect.js';
-import {type OrderOutcome, type SchedulerEvent, type WorkerReport} from './event.js';
-import {jobSchema} from './job-schema.js';
-import {reduceScheduler} from './reduce-scheduler.js';
+import {configurationSchema} from '../state/configuration-schema.js';
+import {createScheduler} from '../state/create-scheduler.js';
+import {type SchedulerEffect} from '../state/effect.js';
+import {type OrderOutcome, type SchedulerEvent, type WorkerReport} from '../state/event.js';
+import {jobSchema} from '../state/job-schema.js';
+import {reduceScheduler} from '../state/reduce-scheduler.js';
 
 const configuration = configurationSchema.parse({
 	version: 1,
--- a/packages/core/src/jobs/handle-start-answer.ts
+++ b/packages/core/src/jobs/runs/handle-start-answer.ts
@@ -1,13 +1,13 @@
 import {
 	initialBackoffMs, failureThreshold, maximumStartOrders, orderRetryMs,
-} from './constants.js';
+} from '../state/constants.js';
+import {type OrderAnswer, type OrderOutcome} from '../state/event.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Task, type Worker} from '../state/scheduler.js';
 import {adjustOrderWindow} from './adjust-order-window.js';
-import {type OrderAnswer, type OrderOutcome} from './event.js';
 import {endCalledIncarnation} from './end-called-incarnation.js';
 import {recordWorkerClock} from './record-worker-clock.js';
-import {type ReducerContext} from './reducer-context.js';
 import {releaseTask} from './release-task.js';
-import {type Task, type Worker} from './scheduler.js';
 import {sendStart} from './send-start.js';
 import {stopTask} from './stop-task.js';
 
--- a/packages/core/src/jobs/handle-stop-answer.ts
+++ b/packages/core/src/jobs/runs/handle-stop-answer.ts
@@ -1,7 +1,7 @@
-import {type OrderAnswer} from './event.js';
+import {type OrderAnswer} from '../state/event.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 import {endCalledIncarnation} from './end-called-incarnation.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Worker} from './scheduler.js';
 
 /**
  * Processes the answer to an order to stop a task. Once the order is accepted, the run can no longer start, and a report
--- a/packages/core/src/jobs/handle-task-end.ts
+++ b/packages/core/src/jobs/runs/handle-task-end.ts
@@ -1,14 +1,14 @@
 import {
 	initialBackoffMs, maximumBackoffMs, failureThreshold, restartDelayMs,
-} from './constants.js';
-import {clearSuspicion} from './clear-suspicion.js';
-import {completeTaskGroup} from './complete-task-group.js';
-import {type EndedTask, type TaskOutcome} from './event.js';
-import {failJob} from './fail-job.js';
-import {findQueuePolicy} from './find-queue-policy.js';
-import {type ReducerContext} from './reducer-context.js';
+} from '../state/constants.js';
+import {clearSuspicion} from '../crashes/clear-suspicion.js';
+import {completeTaskGroup} from '../state/complete-task-group.js';
+import {type EndedTask, type TaskOutcome} from '../state/event.js';
+import {failJob} from '../state/fail-job.js';
+import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Task, type TaskGroup, type Worker} from '../state/scheduler.js';
 import {releaseTask} from './release-task.js';
-import {type Task, type TaskGroup, type Worker} from './scheduler.js';
 import {stopTask} from './stop-task.js';
 
 type TaskEndContext = {readonly task: Task; readonly worker: Worker; readonly ended: EndedTask};
--- a/packages/core/src/jobs/handle-worker-restart.ts
+++ b/packages/core/src/jobs/runs/handle-worker-restart.ts
@@ -1,7 +1,7 @@
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 import {releaseLostTasks} from './release-lost-tasks.js';
-import {type ReducerContext} from './reducer-context.js';
 import {restartWorkerClock} from './restart-worker-clock.js';
-import {type Worker} from './scheduler.js';
 
 /**
  * Processes the first report of a new incarnation of a worker under the same id. What ran before has ended. The new
--- a/packages/core/src/jobs/is-planned-end.ts
+++ b/packages/core/src/jobs/runs/is-planned-end.ts
@@ -1,5 +1,5 @@
-import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
-import {type Scheduler, type Worker} from './scheduler.js';
+import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
+import {type Scheduler, type Worker} from '../state/scheduler.js';
 
 /**
  * Tells whether a worker that has ended was shutting down, or ended because its instance moved or was rebooted on request.
--- a/packages/core/src/jobs/is-same-incarnation.ts
+++ b/packages/core/src/jobs/runs/is-same-incarnation.ts
@@ -1,4 +1,4 @@
-import {type Incarnation} from './instance.js';
+import {type Incarnation} from '../state/instance.js';
 
 /**
  * Tells whether two incarnations are the same life of the same worker.
--- a/packages/core/src/jobs/is-start-pending.ts
+++ b/packages/core/src/jobs/runs/is-start-pending.ts
@@ -1,4 +1,4 @@
-import {type Scheduler} from './scheduler.js';
+import {type Scheduler} from '../state/scheduler.js';
 
 /**
  * Tells whether a run is still to be started on a worker: it has not been released or stopped, and no order to start it
--- a/packages/core/src/jobs/locate-worker.ts
+++ b/packages/core/src/jobs/runs/locate-worker.ts
@@ -1,5 +1,5 @@
-import {type ReducerContext} from './reducer-context.js';
-import {type ListedWorker, type Worker} from './scheduler.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type ListedWorker, type Worker} from '../state/scheduler.js';
 
 /**
  * Records the entry of a worker in the store, and since when it has had its address and start time. With a new address it has
--- a/packages/core/src/jobs/record-worker-clock.ts
+++ b/packages/core/src/jobs/runs/record-worker-clock.ts
@@ -1,7 +1,7 @@
-import {slowestClockRate} from './constants.js';
-import {type ReducerContext} from './reducer-context.js';
+import {slowestClockRate} from '../state/constants.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 import {restartWorkerClock} from './restart-worker-clock.js';
-import {type Worker} from './scheduler.js';
 
 /** Most by which the difference of two readings, in whole milliseconds, is below the time between them. */
 const clockRoundingMs = 1;
--- a/packages/core/src/jobs/release-lost-tasks.ts
+++ b/packages/core/src/jobs/runs/release-lost-tasks.ts
@@ -1,7 +1,7 @@
-import {recordLoss} from './record-loss.js';
-import {type ReducerContext} from './reducer-context.js';
+import {recordLoss} from '../crashes/record-loss.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Task, type Worker} from '../state/scheduler.js';
 import {releaseTask} from './release-task.js';
-import {type Task, type Worker} from './scheduler.js';
 
 /** Maximum number of task ids in a log line. */
 const maximumLoggedTasks = 20;
--- a/packages/core/src/jobs/release-task.ts
+++ b/packages/core/src/jobs/runs/release-task.ts
@@ -1,7 +1,7 @@
-import {addResources} from './add-resources.js';
-import {getReservedResources} from './get-reserved-resources.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Task} from './scheduler.js';
+import {addResources} from '../placement/add-resources.js';
+import {getReservedResources} from '../placement/get-reserved-resources.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Task} from '../state/scheduler.js';
 
 /**
  * Unassigns a task from its worker, and subtracts its resources from the usage.
--- a/packages/core/src/jobs/request-reports.ts
+++ b/packages/core/src/jobs/runs/request-reports.ts
@@ -1,9 +1,9 @@
 import {
 	clockReadingLifetimeMs, reportLifetimeMs, reportWaitMs, uncommittedReportDelayMs,
-} from './constants.js';
+} from '../state/constants.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 import {extendLease} from './extend-lease.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Worker} from './scheduler.js';
 
 /**
  * Requests the reports that are due. A request also renews the lease on all tasks of the worker.
--- a/packages/core/src/jobs/restart-worker-clock.ts
+++ b/packages/core/src/jobs/runs/restart-worker-clock.ts
@@ -1,5 +1,5 @@
-import {type ReducerContext} from './reducer-context.js';
-import {type Worker} from './scheduler.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Worker} from '../state/scheduler.js';
 
 /**
  * Replaces the clock of a worker by that of its next incarnation. A lease that was computed on the earlier clock exceeds
--- a/packages/core/src/jobs/send-start.ts
+++ b/packages/core/src/jobs/runs/send-start.ts
@@ -1,6 +1,6 @@
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Task} from '../state/scheduler.js';
 import {extendLease} from './extend-lease.js';
-import {type ReducerContext} from './reducer-context.js';
-import {type Task} from './scheduler.js';
 
 /**
  * Orders a worker to start a task that has been placed there. The order is idempotent.
--- a/packages/core/src/jobs/stop-task.ts
+++ b/packages/core/src/jobs/runs/stop-task.ts
@@ -1,5 +1,5 @@
-import {type ReducerContext} from './reducer-context.js';
-import {type Task} from './scheduler.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Task} from '../state/scheduler.js';
 
 /**
  * Orders a worker to stop a task. The task stays assigned until its end is reported.
--- a/packages/core/src/jobs/supervise-workers.ts
+++ b/packages/core/src/jobs/runs/supervise-workers.ts
@@ -1,13 +1,13 @@
 import {
 	crashDetectionMs, orderRetryMs, reportWaitMs, longRunningStartupTimeoutMs, stallTimeoutMs,
-} from './constants.js';
-import {findLeaseExpiry} from './find-lease-expiry.js';
-import {forgetCrashes} from './forget-crashes.js';
-import {isHarmless} from './is-harmless.js';
+} from '../state/constants.js';
+import {forgetCrashes} from '../crashes/forget-crashes.js';
+import {isHarmless} from '../crashes/is-harmless.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {relocateTask} from '../placement/relocate-task.js';
+import {type Task, type Worker} from '../state/scheduler.js';
 import {releaseLostTasks} from './release-lost-tasks.js';
-import {type ReducerContext} from './reducer-context.js';
-import {relocateTask} from './relocate-task.js';
-import {type Task, type Worker} from './scheduler.js';
+import {findLeaseExpiry} from './find-lease-expiry.js';
 import {stopTask} from './stop-task.js';
 
 /** Time after a pause of the process in which it reads the answers that have arrived meanwhile, before it judges any worker as silent. */
--- a/packages/core/src/jobs/create-active-job.ts
+++ b/packages/core/src/jobs/state/create-active-job.ts
@@ -1,4 +1,4 @@
-import {estimateCriticalPath} from './estimate-critical-path.js';
+import {estimateCriticalPath} from '../estimates/estimate-critical-path.js';
 import {type Job} from './job-schema.js';
 import {type ActiveJob} from './scheduler.js';
 
--- a/packages/core/src/jobs/publish-summary.ts
+++ b/packages/core/src/jobs/state/publish-summary.ts
@@ -1,5 +1,5 @@
+import {logPoolLoads} from '../pools/log-pool-loads.js';
 import {summaryIntervalMs} from './constants.js';
-import {logPoolLoads} from './log-pool-loads.js';
 import {type QueueSummary} from './effect.js';
 import {type ReducerContext} from './reducer-context.js';
 
--- a/packages/core/src/jobs/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -3,12 +3,12 @@
  * in milliseconds, and fields that end in `AtMs` are wall-clock times in milliseconds since 1970. `clockMs` and
  * `leaseUntilMs` are on the worker's own clock.
  */
+import {type OrderWindow} from '../runs/order-window.js';
 import {type Configuration, type Resources} from './configuration-schema.js';
 import {
 	type Drain, type ListedInstance, type Move, type Wave,
 } from './instance.js';
 import {type Job, type JobEnd, type Step} from './job-schema.js';
-import {type OrderWindow} from './order-window.js';
 
 /** A worker as its entry in the store describes it. */
 export type ListedWorker = {
--- a/packages/core/src/jobs/stop-job.ts
+++ b/packages/core/src/jobs/state/stop-job.ts
@@ -1,6 +1,6 @@
+import {stopTask} from '../runs/stop-task.js';
 import {type ReducerContext} from './reducer-context.js';
 import {type ActiveJob} from './scheduler.js';
-import {stopTask} from './stop-task.js';
 
 /**
  * Stops all tasks of a job.
--- a/packages/core/src/jobs/write-progress.ts
+++ b/packages/core/src/jobs/state/write-progress.ts
@@ -1,8 +1,8 @@
+import {findAcknowledgeableEnd} from '../runs/find-acknowledgeable-end.js';
+import {listStoredCrashes} from '../crashes/list-stored-crashes.js';
 import {commitIntervalMs} from './constants.js';
 import {type StoreWrite} from './effect.js';
 import {type Progress} from './job-schema.js';
-import {findAcknowledgeableEnd} from './find-acknowledgeable-end.js';
-import {listStoredCrashes} from './list-stored-crashes.js';
 import {type ReducerContext} from './reducer-context.js';
 import {type ActiveJob, type Worker} from './scheduler.js';
 
--- a/packages/core/src/jobs/advance-waves.ts
+++ b/packages/core/src/jobs/waves/advance-waves.ts
@@ -1,10 +1,10 @@
-import {orderRetryMs, takeoverSettlingMs, forcedDrainFraction} from './constants.js';
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
-import {type Upkeep, type UpkeepState, type Wave} from './instance.js';
-import {type ReducerContext} from './reducer-context.js';
-import {relocateTask} from './relocate-task.js';
-import {type Worker} from './scheduler.js';
-import {stopTask} from './stop-task.js';
+import {orderRetryMs, takeoverSettlingMs, forcedDrainFraction} from '../state/constants.js';
+import {findWorkerOfInstance} from '../pools/find-worker-of-instance.js';
+import {type Upkeep, type UpkeepState, type Wave} from '../state/instance.js';
+import {type ReducerContext} from '../state/reducer-context.js';
+import {relocateTask} from '../placement/relocate-task.js';
+import {type Worker} from '../state/scheduler.js';
+import {stopTask} from '../runs/stop-task.js';
 
 /** Fraction of a pool that may be cordoned for upkeep at the same time. */
 const cordonedPoolFraction = 0.25;
--- a/packages/core/src/jobs/handle-upkeep-answer.ts
+++ b/packages/core/src/jobs/waves/handle-upkeep-answer.ts
@@ -1,5 +1,5 @@
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
-import {type ReducerContext} from './reducer-context.js';
+import {findWorkerOfInstance} from '../pools/find-worker-of-instance.js';
+import {type ReducerContext} from '../state/reducer-context.js';
 
 type Outcome = 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered';
 
--- a/packages/core/src/jobs/is-upkeep-in-progress.ts
+++ b/packages/core/src/jobs/waves/is-upkeep-in-progress.ts
@@ -1,4 +1,4 @@
-import {type Scheduler} from './scheduler.js';
+import {type Scheduler} from '../state/scheduler.js';
 
 /**
  * Tells whether an instance is being drained for its upkeep, or is down for it.
--- a/packages/core/src/jobs/reconcile-waves.ts
+++ b/packages/core/src/jobs/waves/reconcile-waves.ts
@@ -1,6 +1,6 @@
-import {takeoverSettlingMs} from './constants.js';
-import {type WaveRequest} from './instance.js';
-import {type ReducerContext} from './reducer-context.js';
+import {takeoverSettlingMs} from '../state/constants.js';
+import {type WaveRequest} from '../state/instance.js';
+import {type ReducerContext} from '../state/reducer-context.js';
 
 /**
  * Adds waves that the operators have requested, and drops waves that they no longer request.
--- a/packages/daemon/src/jobs/decode-unfinished-jobs.ts
+++ b/packages/daemon/src/jobs/decode-unfinished-jobs.ts
@@ -1,4 +1,4 @@
-import {type Job, type Progress, progressSchema} from '@rosemaryquay/core/jobs/job-schema';
+import {type Job, type Progress, progressSchema} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Entry} from '@rosemaryquay/core/store/transaction';
 import {type JobPart, progressPrefix} from './keys.js';
 import {parseJob} from './parse-job.js';
--- a/packages/daemon/src/jobs/encode-job.ts
+++ b/packages/daemon/src/jobs/encode-job.ts
@@ -1,4 +1,4 @@
-import {type Job, jobSchema, stepSchema} from '@rosemaryquay/core/jobs/job-schema';
+import {type Job, jobSchema, stepSchema} from '@rosemaryquay/core/jobs/state/job-schema';
 
 const defaultStep: Readonly<Record<string, unknown>> = stepSchema.parse({count: 1});
 const defaultJob: Readonly<Record<string, unknown>> = jobSchema.parse({
--- a/packages/daemon/src/jobs/find-organisation.ts
+++ b/packages/daemon/src/jobs/find-organisation.ts
@@ -1,4 +1,4 @@
-import {type Configuration, type Queue} from '@rosemaryquay/core/jobs/configuration-schema';
+import {type Configuration, type Queue} from '@rosemaryquay/core/jobs/state/configuration-schema';
 
 /**
  * Finds the organisation whose API key a request carries.
--- a/packages/daemon/src/jobs/find-queue.ts
+++ b/packages/daemon/src/jobs/find-queue.ts
@@ -1,4 +1,4 @@
-import {type Configuration, type Queue} from '@rosemaryquay/core/jobs/configuration-schema';
+import {type Configuration, type Queue} from '@rosemaryquay/core/jobs/state/configuration-schema';
 
 /**
  * Finds the queue that a request addresses: among the queues of its host, the one with the longest matching path prefix.
--- a/packages/daemon/src/jobs/job-api-server.ts
+++ b/packages/daemon/src/jobs/job-api-server.ts
@@ -3,8 +3,8 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {type Queue} from '@rosemaryquay/core/jobs/configuration-schema';
-import {type Job} from '@rosemaryquay/core/jobs/job-schema';
+import {type Queue} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Logger} from '../create-logger.js';
 import {findOrganisation} from './find-organisation.js';
 import {findPort} from './find-port.js';
--- a/packages/daemon/src/jobs/job-store.ts
+++ b/packages/daemon/src/jobs/job-store.ts
@@ -2,7 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {LRUCache} from 'lru-cache';
 import {z} from 'zod';
-import {type EndedJob, type Job} from '@rosemaryquay/core/jobs/job-schema';
+import {type EndedJob, type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Store} from '@rosemaryquay/core/store/store';
 import {type Comparison, type Entry} from '@rosemaryquay/core/store/transaction';
 import {createEndedJobKey} from './create-ended-job-key.js';
--- a/packages/daemon/src/jobs/parse-ended-job.ts
+++ b/packages/daemon/src/jobs/parse-ended-job.ts
@@ -1,4 +1,4 @@
-import {type EndedJob, endedJobSchema} from '@rosemaryquay/core/jobs/job-schema';
+import {type EndedJob, endedJobSchema} from '@rosemaryquay/core/jobs/state/job-schema';
 import {parseStoredValue} from './parse-stored-value.js';
 
 /**
--- a/packages/daemon/src/jobs/parse-holders.ts
+++ b/packages/daemon/src/jobs/parse-holders.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {type LeaseHolder} from '@rosemaryquay/core/jobs/scheduler';
+import {type LeaseHolder} from '@rosemaryquay/core/jobs/state/scheduler';
 import {parseStoredValue} from './parse-stored-value.js';
 
 const holdersSchema = z.array(z.object({id: z.string(), address: z.string(), instance: z.string().default('')}));
--- a/packages/daemon/src/jobs/parse-job.ts
+++ b/packages/daemon/src/jobs/parse-job.ts
@@ -1,4 +1,4 @@
-import {type Job, jobSchema} from '@rosemaryquay/core/jobs/job-schema';
+import {type Job, jobSchema} from '@rosemaryquay/core/jobs/state/job-schema';
 import {parseStoredValue} from './parse-stored-value.js';
 
 /**
--- a/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
-import {type Progress} from '@rosemaryquay/core/jobs/job-schema';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {type Progress} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Store} from '@rosemaryquay/core/store/store';
 import {type Transaction} from '@rosemaryquay/core/store/transaction';
 import {StoreModel} from '@rosemaryquay/testing/store-model';
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
-import {type SchedulerEffect, type StoreWrite} from '@rosemaryquay/core/jobs/effect';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
+import {type SchedulerEffect, type StoreWrite} from '@rosemaryquay/core/jobs/state/effect';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
 import {type Operation} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
 import {type LogEvent} from '../log-events.js';
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -3,11 +3,11 @@
  * `fleet-platform` implements them.
  */
 import {type IncomingHttpHeaders} from 'node:http';
-import {type Configuration} from '@rosemaryquay/core/jobs/configuration-schema';
-import {type OrderAnswer, type OrderOutcome, type WorkerReport} from '@rosemaryquay/core/jobs/event';
-import {type ListedInstance, type WaveRequest} from '@rosemaryquay/core/jobs/instance';
-import {type Step} from '@rosemaryquay/core/jobs/job-schema';
-import {type ListedWorker} from '@rosemaryquay/core/jobs/scheduler';
+import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type OrderAnswer, type OrderOutcome, type WorkerReport} from '@rosemaryquay/core/jobs/state/event';
+import {type ListedInstance, type WaveRequest} from '@rosemaryquay/core/jobs/state/instance';
+import {type Step} from '@rosemaryquay/core/jobs/state/job-schema';
+import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 import {type Store} from '@rosemaryquay/core/store/store';
 import {type Comparison, type Entry, type Operation} from '@rosemaryquay/core/store/transaction';
 
--- a/packages/testing/src/jobs/contested-gang-ends.test.ts
+++ b/packages/testing/src/jobs/contested-gang-ends.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {addJob} from '@rosemaryquay/core/jobs/add-job';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type SchedulerEffect} from '@rosemaryquay/core/jobs/effect';
-import {type EndedTask, type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
+import {addJob} from '@rosemaryquay/core/jobs/state/add-job';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type SchedulerEffect} from '@rosemaryquay/core/jobs/state/effect';
+import {type EndedTask, type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 
 describe('an end of a run of a gang that has been started again', () => {
--- a/packages/testing/src/jobs/create-fleet.ts
+++ b/packages/testing/src/jobs/create-fleet.ts
@@ -1,6 +1,6 @@
-import {type Configuration, configurationSchema} from '@rosemaryquay/core/jobs/configuration-schema';
-import {type Job, jobSchema} from '@rosemaryquay/core/jobs/job-schema';
-import {type ListedWorker} from '@rosemaryquay/core/jobs/scheduler';
+import {type Configuration, configurationSchema} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type Job, jobSchema} from '@rosemaryquay/core/jobs/state/job-schema';
+import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 import {type z} from 'zod';
 
 /**
--- a/packages/testing/src/jobs/describe-behaviour.ts
+++ b/packages/testing/src/jobs/describe-behaviour.ts
@@ -1,4 +1,4 @@
-import {type Job} from '@rosemaryquay/core/jobs/job-schema';
+import {type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type TaskBehaviour} from './worker-model.js';
 
 /**
--- a/packages/testing/src/jobs/fenced-orders.test.ts
+++ b/packages/testing/src/jobs/fenced-orders.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {createConfiguration, createWorkers} from './create-fleet.js';
 
 const events: SchedulerEvent[] = [
--- a/packages/testing/src/jobs/fleet-options.ts
+++ b/packages/testing/src/jobs/fleet-options.ts
@@ -1,7 +1,7 @@
-import {type Configuration} from '@rosemaryquay/core/jobs/configuration-schema';
-import {type ListedInstance} from '@rosemaryquay/core/jobs/instance';
-import {type Job} from '@rosemaryquay/core/jobs/job-schema';
-import {type ListedWorker} from '@rosemaryquay/core/jobs/scheduler';
+import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type ListedInstance} from '@rosemaryquay/core/jobs/state/instance';
+import {type Job} from '@rosemaryquay/core/jobs/state/job-schema';
+import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 import {type TaskBehaviour} from './worker-model.js';
 
 /** Options of a modelled fleet. */
--- a/packages/testing/src/jobs/heartbeat-model.ts
+++ b/packages/testing/src/jobs/heartbeat-model.ts
@@ -1,4 +1,4 @@
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
 import {type WorkerModel} from './worker-model.js';
 
 /** Interval at which workers renew their entry in the store, which drops it after three missed heartbeats. */
--- a/packages/testing/src/jobs/instance-model.ts
+++ b/packages/testing/src/jobs/instance-model.ts
@@ -1,5 +1,5 @@
-import {type ListedInstance} from '@rosemaryquay/core/jobs/instance';
-import {type ListedWorker} from '@rosemaryquay/core/jobs/scheduler';
+import {type ListedInstance} from '@rosemaryquay/core/jobs/state/instance';
+import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 
 type Fleet = {
 	readonly now: number;
--- a/packages/testing/src/jobs/invariant-checker.ts
+++ b/packages/testing/src/jobs/invariant-checker.ts
@@ -1,7 +1,7 @@
-import {type EndedTask, type TaskOutcome} from '@rosemaryquay/core/jobs/event';
-import {type Configuration} from '@rosemaryquay/core/jobs/configuration-schema';
-import {type Job, type Step} from '@rosemaryquay/core/jobs/job-schema';
-import {type ListedWorker} from '@rosemaryquay/core/jobs/scheduler';
+import {type EndedTask, type TaskOutcome} from '@rosemaryquay/core/jobs/state/event';
+import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type Job, type Step} from '@rosemaryquay/core/jobs/state/job-schema';
+import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 import {type TaskObserver} from './worker-model.js';
 
 /** Time after a cancellation within which a task of the job may still start. */
--- a/packages/testing/src/jobs/later-life-ignored.test.ts
+++ b/packages/testing/src/jobs/later-life-ignored.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
-import {listSchedulableWorkers} from '@rosemaryquay/core/jobs/list-schedulable-workers';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {listSchedulableWorkers} from '@rosemaryquay/core/jobs/placement/list-schedulable-workers';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {createConfiguration, createWorkers} from './create-fleet.js';
 
 const newAddress = '10.0.0.99:80';
--- a/packages/testing/src/jobs/long-reports.test.ts
+++ b/packages/testing/src/jobs/long-reports.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {addJob} from '@rosemaryquay/core/jobs/add-job';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type EndedTask, type RunningTask} from '@rosemaryquay/core/jobs/event';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
+import {addJob} from '@rosemaryquay/core/jobs/state/add-job';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type EndedTask, type RunningTask} from '@rosemaryquay/core/jobs/state/event';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 
 const task = 'a.0.0.0';
--- a/packages/testing/src/jobs/opened-occurrences.test.ts
+++ b/packages/testing/src/jobs/opened-occurrences.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {addJob} from '@rosemaryquay/core/jobs/add-job';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type SchedulerEffect} from '@rosemaryquay/core/jobs/effect';
-import {type WorkerReport} from '@rosemaryquay/core/jobs/event';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
+import {addJob} from '@rosemaryquay/core/jobs/state/add-job';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type SchedulerEffect} from '@rosemaryquay/core/jobs/state/effect';
+import {type WorkerReport} from '@rosemaryquay/core/jobs/state/event';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {createConfiguration, createJob} from './create-fleet.js';
 
 /** Creates an owner that has taken over a job of four occurrences, none of which is due by its wall clock, and processes a report of its worker. */
--- a/packages/testing/src/jobs/recorded-holders.test.ts
+++ b/packages/testing/src/jobs/recorded-holders.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type SchedulerEffect, type StoreWrite} from '@rosemaryquay/core/jobs/effect';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type SchedulerEffect, type StoreWrite} from '@rosemaryquay/core/jobs/state/effect';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 
 const present = '10.0.0.9:80';
--- a/packages/testing/src/jobs/recover-jobs.ts
+++ b/packages/testing/src/jobs/recover-jobs.ts
@@ -1,5 +1,5 @@
-import {addJob} from '@rosemaryquay/core/jobs/add-job';
-import {type ReducerContext} from '@rosemaryquay/core/jobs/reducer-context';
+import {addJob} from '@rosemaryquay/core/jobs/state/add-job';
+import {type ReducerContext} from '@rosemaryquay/core/jobs/state/reducer-context';
 import {type StoredJob} from './stored-schedule.js';
 
 /**
--- a/packages/testing/src/jobs/relocation.test.ts
+++ b/packages/testing/src/jobs/relocation.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {type ListedInstance} from '@rosemaryquay/core/jobs/instance';
+import {type ListedInstance} from '@rosemaryquay/core/jobs/state/instance';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 import {FleetModel} from './fleet-model.js';
 
--- a/packages/testing/src/jobs/repeated-instance-orders.test.ts
+++ b/packages/testing/src/jobs/repeated-instance-orders.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {assignTask} from '@rosemaryquay/core/jobs/assign-task';
-import {addJob} from '@rosemaryquay/core/jobs/add-job';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
-import {type Scheduler} from '@rosemaryquay/core/jobs/scheduler';
+import {assignTask} from '@rosemaryquay/core/jobs/runs/assign-task';
+import {addJob} from '@rosemaryquay/core/jobs/state/add-job';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
+import {type Scheduler} from '@rosemaryquay/core/jobs/state/scheduler';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 
 /** Creates an owner that has ordered something about the instance of `w1`, which ended it; `w2` runs on the instance now, with a task. */
--- a/packages/testing/src/jobs/restart-while-idle.test.ts
+++ b/packages/testing/src/jobs/restart-while-idle.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {addJob} from '@rosemaryquay/core/jobs/add-job';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type SchedulerEffect} from '@rosemaryquay/core/jobs/effect';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
-import {findLeaseExpiry} from '@rosemaryquay/core/jobs/find-lease-expiry';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
+import {addJob} from '@rosemaryquay/core/jobs/state/add-job';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type SchedulerEffect} from '@rosemaryquay/core/jobs/state/effect';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {findLeaseExpiry} from '@rosemaryquay/core/jobs/runs/find-lease-expiry';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 
 /** A worker that has run a task restarts while it is idle and the store tells nothing, and accepts a second task 6 s later. */
--- a/packages/testing/src/jobs/restart-with-slow-store.test.ts
+++ b/packages/testing/src/jobs/restart-with-slow-store.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 import {FleetModel, type ModelledOwner} from './fleet-model.js';
 
--- a/packages/testing/src/jobs/simulate-late-listings.ts
+++ b/packages/testing/src/jobs/simulate-late-listings.ts
@@ -1,4 +1,4 @@
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 import {FleetModel, type ModelledOwner} from './fleet-model.js';
 
--- a/packages/testing/src/jobs/stored-schedule.ts
+++ b/packages/testing/src/jobs/stored-schedule.ts
@@ -1,6 +1,6 @@
-import {type StoreWrite} from '@rosemaryquay/core/jobs/effect';
-import {type Job, type JobEnd, type Progress} from '@rosemaryquay/core/jobs/job-schema';
-import {type LeaseHolder} from '@rosemaryquay/core/jobs/scheduler';
+import {type StoreWrite} from '@rosemaryquay/core/jobs/state/effect';
+import {type Job, type JobEnd, type Progress} from '@rosemaryquay/core/jobs/state/job-schema';
+import {type LeaseHolder} from '@rosemaryquay/core/jobs/state/scheduler';
 
 /** A job with its progress and end, as the store holds them. */
 export type StoredJob = {readonly job: Job; progress?: Progress; end?: JobEnd; isCancelled: boolean};
--- a/packages/testing/src/jobs/takeover.test.ts
+++ b/packages/testing/src/jobs/takeover.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {slowestClockRate} from '@rosemaryquay/core/jobs/constants';
-import {type ListedInstance} from '@rosemaryquay/core/jobs/instance';
+import {slowestClockRate} from '@rosemaryquay/core/jobs/state/constants';
+import {type ListedInstance} from '@rosemaryquay/core/jobs/state/instance';
 import {createConfiguration, createJob, createWorkers} from './create-fleet.js';
 import {FleetModel} from './fleet-model.js';
 import {type TaskBehaviour} from './worker-model.js';
--- a/packages/testing/src/jobs/upkeep-already-done.test.ts
+++ b/packages/testing/src/jobs/upkeep-already-done.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createScheduler} from '@rosemaryquay/core/jobs/create-scheduler';
-import {type SchedulerEffect} from '@rosemaryquay/core/jobs/effect';
-import {type SchedulerEvent} from '@rosemaryquay/core/jobs/event';
-import {type InstanceState} from '@rosemaryquay/core/jobs/instance';
-import {listSchedulableWorkers} from '@rosemaryquay/core/jobs/list-schedulable-workers';
-import {reduceScheduler} from '@rosemaryquay/core/jobs/reduce-scheduler';
+import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
+import {type SchedulerEffect} from '@rosemaryquay/core/jobs/state/effect';
+import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {type InstanceState} from '@rosemaryquay/core/jobs/state/instance';
+import {listSchedulableWorkers} from '@rosemaryquay/core/jobs/placement/list-schedulable-workers';
+import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {createConfiguration, createWorkers} from './create-fleet.js';
 
 const waveNumber = 1;
--- a/packages/testing/src/jobs/worker-http.ts
+++ b/packages/testing/src/jobs/worker-http.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {z} from 'zod';
-import {type OrderAnswer, type OrderOutcome, type TaskOutcome} from '@rosemaryquay/core/jobs/event';
-import {type ListedWorker} from '@rosemaryquay/core/jobs/scheduler';
+import {type OrderAnswer, type OrderOutcome, type TaskOutcome} from '@rosemaryquay/core/jobs/state/event';
+import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 import {readBody} from '../read-body.js';
 import {type ListeningServer, startServer} from '../start-server.js';
 import {type TaskBehaviour, type TaskObserver, WorkerModel} from './worker-model.js';
--- a/packages/testing/src/jobs/worker-model.ts
+++ b/packages/testing/src/jobs/worker-model.ts
@@ -1,7 +1,7 @@
 import {
 	type EndedTask, type OrderAnswer, type OrderOutcome, type RunningTask, type TaskOutcome, type WorkerReport,
-} from '@rosemaryquay/core/jobs/event';
-import {type ListedWorker} from '@rosemaryquay/core/jobs/scheduler';
+} from '@rosemaryquay/core/jobs/state/event';
+import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 
 /** Behaviour of a running task. */
 export type TaskBehaviour = {
