Complete a wave only by upkeeps that began for it

Cause: the list of instances does not say for which wave an instance is down, and the schedule booked one reboot for every wave that contained the instance; a busy refusal led to the same conclusion. Change: an upkeep counts as begun only for the wave that this owner requested it for, or shortly after a takeover for the only wave that contains it; instances in upkeep count against the maximum of each of their waves; a foreign one is stored as finished.

--- a/packages/core/src/jobs/pools/handle-instances.ts
+++ b/packages/core/src/jobs/pools/handle-instances.ts
@@ -4,6 +4,7 @@
 import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Scheduler, type Worker} from '../state/scheduler.js';
+import {hasBegunForWave} from '../waves/has-begun-for-wave.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
 /**
@@ -64,8 +65,7 @@
 	const {upkeep, requestedAt} = options;
 	const listed = context.scheduler.instances.get(upkeep.instance);
 	const isUnconfirmed = upkeep.state === 'unconfirmed' && requestedAt > upkeep.changedAt;
-	if ((upkeep.state === 'pending' || isUnconfirmed) && listed?.state === 'upkeep') {
-		// It was requested by a former owner, or by an order whose answer was lost.
+	if ((upkeep.state === 'pending' || isUnconfirmed) && listed?.state === 'upkeep' && hasBegunForWave(context.scheduler, {wave, upkeep, requestedAt})) {
 		upkeep.state = 'down';
 		upkeep.acceptedAt = requestedAt;
 		return;
@@ -74,6 +74,7 @@
 	if (isUnconfirmed && listed !== undefined) {
 		upkeep.state = 'pending';
 		upkeep.changedAt = context.now;
+		upkeep.mayHaveBegun = false;
 		const worker = findWorkerOfInstance(context.scheduler, upkeep.instance);
 		if (worker !== undefined) {
 			worker.cordoned = false;
--- a/packages/core/src/jobs/state/instance.ts
+++ b/packages/core/src/jobs/state/instance.ts
@@ -29,7 +29,7 @@
 /**
  * Progress of the upkeep of an instance. `unconfirmed` means that the request was refused because the instance is not up,
  * which may be the effect of an earlier request whose answer was lost. `down` means that the request was accepted, or that
- * the list shows the instance in state `upkeep`; the upkeep is done once the list shows the instance up again.
+ * the list shows the instance in state `upkeep` because of a request for this wave; the upkeep is done once the list shows the instance up again.
  */
 export type UpkeepState = 'pending' | 'draining' | 'requested' | 'unconfirmed' | 'down' | 'done';
 
@@ -39,6 +39,8 @@
 	changedAt: number;
 	/** Local time of acceptance; a list requested later that shows the instance up proves that the upkeep is over. */
 	acceptedAt: number;
+	/** A request of this owner for this wave was not answered, so the upkeep may have begun. */
+	mayHaveBegun: boolean;
 };
 
 /** A move of an instance to another pool. */
--- a/packages/core/src/jobs/waves/advance-waves.ts
+++ b/packages/core/src/jobs/waves/advance-waves.ts
@@ -19,7 +19,7 @@
 
 const handlers: Record<UpkeepState, (context: ReducerContext, target: UpkeepContext) => void> = {
 	pending(context, {wave, upkeep, worker}) {
-		if (countInProgress(wave) >= wave.request.maximumDown || !isListed(context, upkeep)) {
+		if (countInProgress(context, wave) >= wave.request.maximumDown || !isListed(context, upkeep)) {
 			return;
 		}
 
@@ -62,6 +62,7 @@
 	},
 	requested(context, {wave, upkeep}) {
 		if (context.now - upkeep.changedAt > orderRetryMs) {
+			upkeep.mayHaveBegun = true;
 			requestUpkeep(context, wave, upkeep);
 		}
 	},
@@ -119,11 +120,15 @@
 		.map(({upkeep}) => upkeep);
 }
 
-/** Counts the instances of a wave that are down or are about to go down. */
-function countInProgress(wave: Wave): number {
+/** Counts the instances of a wave that are down or are about to go down, including those that are down for another wave. */
+function countInProgress({scheduler}: ReducerContext, wave: Wave): number {
 	let count = 0;
-	for (const {state} of wave.upkeeps.values()) {
-		if (state !== 'pending' && state !== 'done') {
+	for (const {instance, state} of wave.upkeeps.values()) {
+		if (state === 'done') {
+			continue;
+		}
+
+		if (state !== 'pending' || scheduler.instances.get(instance)?.state === 'upkeep') {
 			count++;
 		}
 	}
--- a/packages/core/src/jobs/waves/handle-upkeep-answer.ts
+++ b/packages/core/src/jobs/waves/handle-upkeep-answer.ts
@@ -20,8 +20,9 @@
 		return;
 	}
 
-	const upkeep = scheduler.waves.get(wave)?.upkeeps.get(instance);
-	if (upkeep?.state !== 'requested') {
+	const known = scheduler.waves.get(wave);
+	const upkeep = known?.upkeeps.get(instance);
+	if (known === undefined || upkeep?.state !== 'requested') {
 		return;
 	}
 
@@ -29,6 +30,7 @@
 		type: 'log', level: 'info', event: 'upkeep-answered', fields: {wave, instance, outcome},
 	});
 	const worker = findWorkerOfInstance(scheduler, instance);
+	upkeep.mayHaveBegun ||= outcome === 'unanswered';
 	if (outcome === 'accepted') {
 		upkeep.state = 'down';
 		upkeep.changedAt = now;
@@ -40,6 +42,7 @@
 	if (outcome === 'foreign') {
 		// The order does not apply to this instance or wave, so it is not repeated.
 		upkeep.state = 'done';
+		scheduler.dirtyWaves.add(known);
 		if (worker !== undefined) {
 			worker.cordoned = false;
 		}
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -111,6 +111,13 @@
 		'publish-summary': () => undefined,
 		'publish-wave': ({wave, state}, owner) => {
 			this.waveStates.set(wave, state);
+			const request = state === 'completed' ? this.#waves.find(({number}) => number === wave) : undefined;
+			for (const instance of request?.instances ?? []) {
+				if (this.instances.has(instance) && !this.#instances.hasBegunUpkeep(instance, wave)) {
+					this.checker.violations.push(`wave ${wave} is completed, and the upkeep of ${instance} has not begun`);
+				}
+			}
+
 			this.dispatch({
 				type: 'wave-published', wave, state, stored: true,
 			}, owner);
@@ -132,7 +139,7 @@
 		upkeep: ({instance, wave}, owner) => {
 			const isLost = this.draw(1, partsPerThousand) <= this.lostAnswersPerThousand;
 			this.#network.deliver(() => {
-				const outcome = this.#instances.requestUpkeep(instance);
+				const outcome = this.#instances.requestUpkeep(instance, wave);
 				if (!isLost) {
 					this.dispatch({
 						type: 'upkeep-answered', wave, instance, outcome,
@@ -296,6 +303,10 @@
 		this.#tick(this.owner);
 	}
 
+	removeInstance(id: string): void {
+		this.#instances.remove(id);
+	}
+
 	/** Moves an instance as if a former owner had ordered it. */
 	moveInstance(id: string, pool: string): void {
 		this.#instances.move(id, pool);
--- a/packages/testing/src/jobs/instance-model.ts
+++ b/packages/testing/src/jobs/instance-model.ts
@@ -19,7 +19,8 @@
 	moveCount = 0;
 	/** Largest number of instances that were down for upkeep at the same time. */
 	peakDownCount = 0;
-	readonly #rebootedInstances = new Set<string>();
+	/** Instances whose upkeep has begun, by the number of the wave. */
+	readonly #begunUpkeeps = new Map<number, Set<string>>();
 	readonly #options: {readonly fleet: Fleet; readonly isSpare: (pool: string) => boolean};
 
 	constructor(options: {instances: readonly ListedInstance[]; fleet: Fleet; isSpare: (pool: string) => boolean}) {
@@ -46,6 +47,10 @@
 		}
 
 		fleet.at(fleet.now + moveDurationMs, () => {
+			if (!this.instances.has(id)) {
+				return;
+			}
+
 			const isSpare = this.#options.isSpare(pool);
 			const worker = isSpare ? '' : `${id}-${this.moveCount}`;
 			this.instances.set(id, {
@@ -61,10 +66,10 @@
 
 	/**
 	 * Answers an upkeep request: an instance that is not up is busy, even if an earlier request took it down;
-	 * one already rebooted is accepted without another reboot.
+	 * one already rebooted for the wave is accepted without another reboot.
 	 */
-	requestUpkeep(id: string): 'accepted' | 'busy' {
-		if (this.#rebootedInstances.has(id) && this.instances.get(id)?.state === 'up') {
+	requestUpkeep(id: string, wave: number): 'accepted' | 'busy' {
+		if (this.hasBegunUpkeep(id, wave) && this.instances.get(id)?.state === 'up') {
 			return 'accepted';
 		}
 
@@ -72,10 +77,24 @@
 			return 'busy';
 		}
 
+		this.#begunUpkeeps.set(wave, (this.#begunUpkeeps.get(wave) ?? new Set()).add(id));
 		this.#reboot(id);
 		return 'accepted';
 	}
 
+	hasBegunUpkeep(id: string, wave: number): boolean {
+		return this.#begunUpkeeps.get(wave)?.has(id) ?? false;
+	}
+
+	/** Removes an instance for good. */
+	remove(id: string): void {
+		const instance = this.instances.get(id);
+		this.instances.delete(id);
+		if (instance !== undefined && this.#options.fleet.workers.has(instance.worker)) {
+			this.#options.fleet.removeWorker(instance.worker);
+		}
+	}
+
 	/** Takes an instance down for `upkeepDurationMs`; a new worker runs on it afterwards. */
 	#reboot(id: string): void {
 		const {fleet} = this.#options;
@@ -84,7 +103,6 @@
 			return;
 		}
 
-		this.#rebootedInstances.add(id);
 		const listing = fleet.workers.get(instance.worker)?.listing;
 		this.instances.set(id, {...instance, state: 'upkeep', worker: ''});
 		this.peakDownCount = Math.max(this.peakDownCount, [...this.instances.values()].filter(({state}) => state === 'upkeep').length);
@@ -93,6 +111,10 @@
 		}
 
 		fleet.at(fleet.now + upkeepDurationMs, () => {
+			if (!this.instances.has(id)) {
+				return;
+			}
+
 			const worker = listing === undefined ? '' : `${listing.id}'`;
 			this.instances.set(id, {...instance, state: 'up', worker});
 			if (listing !== undefined) {
--- a/packages/testing/src/jobs/waves.test.ts
+++ b/packages/testing/src/jobs/waves.test.ts
@@ -79,4 +79,31 @@
 			assert.deepEqual(fleet.checker.violations, [], `seed ${seed}`);
 		}
 	});
+
+	it('guards against completing a wave whose instances were down for another wave only', () => {
+		for (let seed = 1; seed <= 10; seed++) {
+			const fleet = createFleet(seed);
+			fleet.at(1000 + (seed * 150), () => {
+				fleet.requestUpkeepWave({
+					number: 2, instances: instances.slice(2).map(({id}) => id), durationMs: 40_000, maximumDown: 2,
+				});
+			});
+			fleet.at(4000 + (seed * 200), () => {
+				fleet.removeInstance('m8');
+			});
+			if (seed % 2 === 0) {
+				fleet.at(3000 + (seed * 300), () => {
+					fleet.killOwner();
+				});
+				fleet.at(3200 + (seed * 300), () => {
+					fleet.takeOver();
+				});
+			}
+
+			fleet.runUntil(100_000);
+			assert.deepEqual(fleet.checker.violations, [], `seed ${seed}`);
+			assert.equal(fleet.waveStates.get(1), 'completed', `seed ${seed}`);
+			assert.equal(fleet.waveStates.get(2), 'completed', `seed ${seed}`);
+		}
+	});
 });
