--- a/packages/core/src/jobs/pools/measure-pools.ts
+++ b/packages/core/src/jobs/pools/measure-pools.ts
@@ -3,7 +3,8 @@
 import {measureDominantResource} from '../placement/measure-dominant-resource.js';
 import {getReservedResources} from '../placement/get-reserved-resources.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {rankJob} from '../order/rank-job.js';
+import {classifyLateness} from '../order/classify-lateness.js';
+import {estimateDuration} from '../estimates/estimate-duration.js';
 import {type PoolLoad, type StepState, type Worker} from '../state/scheduler.js';
 import {measureArrivingDemand} from './measure-arriving-demand.js';
 import {forecastDemand} from './forecast-demand.js';
@@ -21,7 +22,7 @@
 /** Time after which an upkeep that waits only for long-running tasks needs another instance to move them to. */
 const blockedUpkeepMs = 1500;
 
-/** Lateness class (see `Rank`) from which a job does not count towards the backlog. */
+/** Lateness class from which a job does not count towards the backlog. */
 const ignoredLateness = 2;
 
 const noDemand = {measuredAt: 0, smoothed: 0, forecast: 0};
@@ -99,12 +100,12 @@
 
 		const {service} = findQueuePolicy(scheduler, job);
 		const pool = pools.get(service);
-		addDemand(demands, service, {demand: measureArrivingDemand(job, now), count: now - job.acceptedAt < arrivalWindowMs ? 1 : 0});
+		addDemand(demands, service, {demand: measureArrivingDemand(scheduler, job, now), count: now - job.acceptedAt < arrivalWindowMs ? 1 : 0});
 		if (pool === undefined) {
 			continue;
 		}
 
-		const lateness = rankJob(scheduler, job, now)[2];
+		const lateness = classifyLateness(scheduler, job, now);
 		if (lateness > 0) {
 			pool.lateJobs.add(job);
 		}
@@ -145,20 +146,20 @@
 	return total;
 }
 
-function addBacklog({now}: ReducerContext, pool: PoolLoad, steps: readonly StepState[]): void {
+function addBacklog({scheduler, now}: ReducerContext, pool: PoolLoad, steps: readonly StepState[]): void {
 	const capacity = pool.workers[0]?.listing?.capacity;
 	for (const step of steps) {
 		if (!isStepReady(steps, step)) {
 			continue;
 		}
 
-		for (const {done, definition, tasks, unassignedSince} of step.groups) {
+		for (const {done, definition, job, tasks, unassignedSince} of step.groups) {
 			if (done || tasks.some(({state}) => state !== 'unassigned')) {
 				continue;
 			}
 
 			// Short tasks can run one after another on the same cores.
-			const fraction = definition.longRunning ? 1 : Math.min(1, definition.estimatedMs / backlogTargetMs);
+			const fraction = definition.longRunning ? 1 : Math.min(1, estimateDuration(scheduler, job, step.step) / backlogTargetMs);
 			const need = getReservedResources(definition);
 			pool.backlog += tasks.length * fraction * (capacity === undefined ? need.cpuMillis : measureDominantResource(need, capacity));
 			pool.unmetLongRunningNeeds += definition.longRunning && now - unassignedSince > starvationMs ? 1 : 0;
--- a/packages/core/src/jobs/pools/plan-drains.ts
+++ b/packages/core/src/jobs/pools/plan-drains.ts
@@ -1,7 +1,8 @@
 import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {type PoolLoad, type Task, type Worker} from '../state/scheduler.js';
+import {type PoolLoad, type Scheduler, type Task, type Worker} from '../state/scheduler.js';
 import {measureTimelyNeed} from './measure-timely-need.js';
+import {estimateDuration} from '../estimates/estimate-duration.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
 /** Longest time that a worker is drained for another pool. Its tasks are expected to end sooner; otherwise their estimates were wrong. */
@@ -70,7 +71,7 @@
 }
 
 /** Workers that may be drained, those that are empty soonest first. A pool keeps what its timely jobs need. */
-function listCandidates(context: ReducerContext, options: {pools: ReadonlyMap<string, PoolLoad>; shortages: ReadonlyMap<string, number>; isMovable: (worker: Worker) => boolean}): Worker[] {
+function listCandidates({scheduler}: ReducerContext, options: {pools: ReadonlyMap<string, PoolLoad>; shortages: ReadonlyMap<string, number>; isMovable: (worker: Worker) => boolean}): Worker[] {
 	const {pools, shortages, isMovable} = options;
 	const candidates: Array<{worker: Worker; remainingMs: number}> = [];
 	for (const pool of pools.values()) {
@@ -81,7 +82,7 @@
 		let excess = pool.capacity - measureTimelyNeed(pool);
 		const movable = pool.workers
 			.filter(worker => !worker.cordoned && worker.acknowledgedOwner && isMovable(worker) && [...worker.tasks].every(task => isLate(pool, task)))
-			.map(worker => ({worker, remainingMs: estimateRemainingTime(worker)}))
+			.map(worker => ({worker, remainingMs: estimateRemainingTime(scheduler, worker)}))
 			.toSorted((left, right) => left.remainingMs - right.remainingMs);
 		for (const candidate of movable) {
 			excess -= candidate.worker.listing?.capacity.cpuMillis ?? 0;
@@ -101,10 +102,10 @@
 }
 
 /** Estimates the time in milliseconds until all tasks of a worker have ended. */
-function estimateRemainingTime({tasks}: Worker): number {
+function estimateRemainingTime(scheduler: Scheduler, {tasks}: Worker): number {
 	let remainingMs = 0;
 	for (const {percent, group} of tasks) {
-		remainingMs = Math.max(remainingMs, group.definition.estimatedMs * (1 - (percent / 100)));
+		remainingMs = Math.max(remainingMs, estimateDuration(scheduler, group.job, group.step) * (1 - (percent / 100)));
 	}
 
 	return remainingMs;
--- a/packages/core/src/jobs/state/create-active-job.ts
+++ b/packages/core/src/jobs/state/create-active-job.ts
@@ -1,4 +1,3 @@
-import {estimateCriticalPath} from '../estimates/estimate-critical-path.js';
 import {type Job} from './job-schema.js';
 import {type ActiveJob} from './scheduler.js';
 
@@ -16,8 +15,6 @@
 	return {
 		definition: job,
 		acceptedAt,
-		criticalPathMs: estimateCriticalPath(job.steps),
-		estimatedWork: job.steps.reduce((sum, {count, cpuMillis, estimatedMs}) => sum + (count * cpuMillis * estimatedMs), 0),
 		recovered,
 		occurrences: new Map(),
 		nextOccurrence: 0,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -192,10 +192,6 @@
 	readonly definition: Job;
 	/** Local time of acceptance. */
 	readonly acceptedAt: number;
-	/** Length of the critical path through the steps, by their estimated run times. */
-	readonly criticalPathMs: number;
-	/** Estimated work of all tasks, in thousandths of a core times milliseconds. */
-	readonly estimatedWork: number;
 	/** The job was accepted before this owner took over; a former owner may have started tasks of it. */
 	readonly recovered: boolean;
 	readonly occurrences: Map<number, StepState[]>;
