Check a configuration before it is sent

Cause: operators could not check a configuration before writing it; the daemon keeps the old one when the new one is invalid, and valid ones may hold entries that can never match. The platform's format is validated by the function that the daemon uses.

--- a/packages/cli/src/fleet/fleet-cli-context.ts
+++ b/packages/cli/src/fleet/fleet-cli-context.ts
@@ -1,4 +1,6 @@
 import {type BaseContext} from 'clipanion';
+import {type Path} from '@rosemaryquay/core/jobs/configuration/finding';
+import {type ParsedConfiguration} from '@rosemaryquay/core/jobs/configuration/parsed-configuration';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
 
 /**
@@ -9,8 +11,17 @@
 	| {readonly ok: true; readonly instance: string; readonly openPlatform: () => Platform}
 	| {readonly ok: false; readonly problems: readonly string[]};
 
-/** Context of the commands. The package that implements the platform supplies the decoder, because it defines the format of the settings. */
+/** Format in which operators write a configuration on the platform. */
+export type ConfigurationFormat = {
+	/** Validates a configuration as the daemon does. Paths of findings are those of the format. */
+	readonly parse: (value: unknown) => ParsedConfiguration;
+	/** Translates the path of a value in a `Configuration` to its path in the format. */
+	readonly translatePath: (path: Path) => Path;
+};
+
+/** Context of the commands. The package that implements the platform supplies the decoders, because it defines the formats of settings and configurations. */
 export type FleetCliContext = BaseContext & {
 	/** Decodes and validates the text of a settings file. */
 	readonly decodeSettings: (text: string) => DecodedSettings;
+	readonly configurationFormat: ConfigurationFormat;
 };
