Order jobs by value for the work left, within shares of the organisations

Cause: the order considered priority, lateness class and remaining work only, and no decision used the weight of an organisation. Change: orderJobs rates jobs by their value for the work still to be placed and their chance to end in time; weighted max-min shares apply per service while tasks wait and at least two organisations compete.

--- a/packages/core/src/jobs/order/classify-lateness.ts
+++ b/packages/core/src/jobs/order/classify-lateness.ts
@@ -1,10 +1,8 @@
 import {estimateCriticalPath} from '../estimates/estimate-critical-path.js';
+import {lateObjectiveMultiple} from '../state/constants.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {type ActiveJob, type Scheduler} from '../state/scheduler.js';
 
-/** Multiple of its objective beyond which a late job is of no use to its caller. */
-const lateObjectiveMultiple = 3;
-
 /** 0: the job can still meet its latency objective. 1: it is late. 2: it is too late to be useful. */
 export type Lateness = 0 | 1 | 2;
 
--- /dev/null
+++ b/packages/core/src/jobs/order/job-outlook.ts
@@ -0,0 +1,22 @@
+import {type Configuration, type Resources} from '../state/configuration-schema.js';
+
+/** What decides the place of a job in the order of placement. Valid until the tasks of the job or the configuration change. */
+export type JobOutlook = {
+	/** Number of changes to the job when this was measured. */
+	readonly changes: number;
+	readonly configuration: Configuration;
+	readonly measuredAt: number;
+	readonly service: string;
+	readonly priority: number;
+	readonly isLongRunning: boolean;
+	/** Latency objective, in milliseconds from acceptance. */
+	readonly objectiveMs: number;
+	/** Critical path through the steps with work left, in milliseconds. */
+	readonly remainingMs: number;
+	/** Value of the job to its caller if it is done within its objective; 1 for a job with the mean work of its queue. */
+	readonly value: number;
+	/** Work of the tasks that are not assigned to a worker, in thousandths of a core times milliseconds. */
+	readonly waitingWork: number;
+	/** Resources of the tasks that are ready and not assigned to a worker. */
+	readonly waiting: Resources;
+};
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -1,5 +1,4 @@
 import {countOpenOrders} from '../runs/count-open-orders.js';
-import {compareRanks} from '../order/compare-ranks.js';
 import {type Resources} from '../state/configuration-schema.js';
 import {maximumPlacementFailures} from '../state/constants.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
@@ -7,7 +6,8 @@
 import {isUnassigned} from '../state/is-unassigned.js';
 import {measureUnreconciledUsage} from '../order/measure-unreconciled-usage.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {rankJob} from '../order/rank-job.js';
+import {logOrder} from '../order/log-order.js';
+import {orderJobs} from '../order/order-jobs.js';
 import {
 	type ActiveJob, type Task, type Scheduler, type StepState, type TaskGroup, type Worker,
 } from '../state/scheduler.js';
@@ -26,7 +26,7 @@
 const noUnreconciledUsage = new Map<string, Resources>();
 
 /**
- * Places the tasks of ready steps on workers with free capacity, in the order of their jobs' ranks, and starts them.
+ * Places the tasks of ready steps on workers with free capacity, in the order of `orderJobs`, and starts them.
  *
  * @param context - the reducer context; its state is changed and effects are added
  * @example
@@ -49,14 +49,16 @@
 
 	const budget = {orders: scheduler.orderWindow.size - countOpenOrders(scheduler)};
 	if (waiting.length === 0 || budget.orders <= 0) {
+		scheduler.contention.clear();
 		return;
 	}
 
 	const schedulable = listSchedulableWorkers(scheduler, now);
 	const failures = new Map<string, number>();
-	const ranked = waiting.map(job => ({job, rank: rankJob(scheduler, job, now)})).toSorted((left, right) => compareRanks(left.rank, right.rank));
-	placeIsolatedGroups(context, {jobs: ranked.map(({job}) => job), schedulable, budget});
-	for (const {job} of ranked) {
+	const ordered = orderJobs(scheduler, waiting, now);
+	logOrder(context);
+	placeIsolatedGroups(context, {jobs: ordered, schedulable, budget});
+	for (const job of ordered) {
 		if (budget.orders <= 0) {
 			return;
 		}
--- a/packages/core/src/jobs/runs/assign-task.ts
+++ b/packages/core/src/jobs/runs/assign-task.ts
@@ -24,5 +24,6 @@
 	task.worker = worker;
 	task.run = run;
 	task.state = state;
+	job.changes++;
 	task.group.run = Math.max(task.group.run, run);
 }
--- a/packages/core/src/jobs/runs/release-task.ts
+++ b/packages/core/src/jobs/runs/release-task.ts
@@ -32,6 +32,7 @@
 		scheduler.usedByOrganisation.set(organisation, addResources(used, need, -1));
 	}
 
+	group.job.changes++;
 	task.worker = undefined;
 	task.state = 'unassigned';
 	task.ticket = '';
--- a/packages/core/src/jobs/state/complete-task-group.ts
+++ b/packages/core/src/jobs/state/complete-task-group.ts
@@ -16,6 +16,7 @@
 	}
 
 	group.done = true;
+	job.changes++;
 	const steps = job.occurrences.get(occurrence) ?? [];
 	const stepState = steps[step];
 	if (stepState === undefined) {
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -70,6 +70,9 @@
 /** Failed placements after which no more jobs of a service are tried in the same round; bounds the work when the service is full. */
 export const maximumPlacementFailures = 12;
 
+/** Multiple of its objective beyond which a late job is of no use to its caller. */
+export const lateObjectiveMultiple = 3;
+
 /** Interval between two published summaries of the queues; callers may see counts up to 2 s old. */
 export const summaryIntervalMs = 1000;
 
--- a/packages/core/src/jobs/state/create-active-job.ts
+++ b/packages/core/src/jobs/state/create-active-job.ts
@@ -22,5 +22,7 @@
 		started: false,
 		cancelled: false,
 		end: undefined,
+		changes: 0,
+		outlook: undefined,
 	};
 }
--- a/packages/core/src/jobs/state/open-occurrences.ts
+++ b/packages/core/src/jobs/state/open-occurrences.ts
@@ -35,6 +35,7 @@
 		};
 	});
 	job.occurrences.set(occurrence, steps);
+	job.changes++;
 }
 
 function createGroups(context: ReducerContext, job: ActiveJob, position: {definition: Step; occurrence: number; step: number}): TaskGroup[] {
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -4,6 +4,8 @@
  * `leaseUntilMs` are on the worker's own clock.
  */
 import {type OrderWindow} from '../runs/order-window.js';
+import {type JobOutlook} from '../order/job-outlook.js';
+import {type ServiceShares} from '../order/service-shares.js';
 import {type Configuration, type Resources} from './configuration-schema.js';
 import {
 	type Drain, type ListedInstance, type Move, type Wave,
@@ -200,6 +202,10 @@
 	started: boolean;
 	cancelled: boolean;
 	end: JobEnd | undefined;
+	/** Number of changes to its tasks; a measured outlook is valid until it changes. */
+	changes: number;
+	/** The last measured outlook. */
+	outlook: JobOutlook | undefined;
 };
 
 /** Demand on a pool in thousandths of a core, of jobs that have just arrived and of running long-running tasks, whether or not the pool has room for it. */
@@ -274,6 +280,12 @@
 	readonly usedByOrganisation: Map<string, Resources>;
 	/** Resources that tasks of a former owner may use on workers that have not answered yet, by organisation. */
 	unreconciledByOrganisation: ReadonlyMap<string, Resources>;
+	/** Mean work of the jobs of each queue, in thousandths of a core times milliseconds; learned from the jobs as they are first ordered. */
+	readonly meanWorkByQueue: Map<string, number>;
+	/** Shares of the organisations on each service for which they compete, as of the last decision on the order. */
+	readonly contention: Map<string, ServiceShares>;
+	/** Local time from which the next decision on the order may be logged. */
+	orderLogDueAt: number;
 	/** Jobs with changes that are not written yet. */
 	readonly dirtyJobs: Set<ActiveJob>;
 	holdersDirty: boolean;
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -222,6 +222,9 @@
 	'pool-load': {
 		number: 636, level: 'info', text: 'Load and capacity of a pool, once a second, in thousandths of a core', action: 'Look here for why jobs wait: no schedulable workers, no free capacity, or organisations at their limit.',
 	},
+	'order-decided': {
+		number: 645, level: 'info', text: 'Organisations compete for the services named; usage, waiting work and share of each, once a second at most, in thousandths of a core', action: 'Look here for why jobs of an organisation wait: those beyond its share are placed after those of the others.',
+	},
 	'wave-requested': {
 		number: 630, level: 'info', text: 'The operators requested a maintenance wave', action: 'None.',
 	},
