--- a/packages/core/src/jobs/order/job-outlook.ts
+++ b/packages/core/src/jobs/order/job-outlook.ts
@@ -1,7 +1,11 @@
 import {type Configuration, type Resources} from '../state/configuration-schema.js';
+import {type ActiveJob} from '../state/scheduler.js';
 
 /** What decides the place of a job in the order of placement. Valid until the tasks of the job or the configuration change. */
 export type JobOutlook = {
+	readonly job: ActiveJob;
+	readonly organisation: string;
+	readonly acceptedAt: number;
 	/** Number of changes to the job when this was measured. */
 	readonly changes: number;
 	readonly configuration: Configuration;
@@ -19,4 +23,6 @@
 	readonly waitingWork: number;
 	/** Resources of the tasks that are ready and not assigned to a worker. */
 	readonly waiting: Resources;
+	/** Rating at the last decision on the order; 1 for a long-running job. */
+	rating: number;
 };
--- a/packages/core/src/jobs/order/measure-outlook.ts
+++ b/packages/core/src/jobs/order/measure-outlook.ts
@@ -9,7 +9,7 @@
 import {type JobOutlook} from './job-outlook.js';
 
 /** Time in milliseconds for which an outlook is kept while the job does not change; estimates are corrected meanwhile by the ends of other jobs. */
-const outlookLifetimeMs = 500;
+const outlookLifetimeMs = 1000;
 
 /** Value of a job that does not depend on its size. The caller of a small job waits for an answer as well, so value is not proportional to work. */
 const fixedValue = 0.3;
@@ -39,6 +39,9 @@
 	const work = estimateWork(scheduler, job);
 	const meanWork = known === undefined ? updateMeanWork(scheduler, job, work) : scheduler.meanWorkByQueue.get(job.definition.queue) ?? work;
 	const outlook: JobOutlook = {
+		job,
+		organisation: job.definition.organisation,
+		acceptedAt: job.acceptedAt,
 		changes: job.changes,
 		configuration: scheduler.configuration,
 		measuredAt: now,
@@ -49,6 +52,7 @@
 		remainingMs: estimateCriticalPath(scheduler, job, position => current[position]?.remaining !== 0),
 		value: fixedValue + (meanWork > 0 ? (1 - fixedValue) * work / meanWork : 1 - fixedValue),
 		...measureWaitingTasks(scheduler, job),
+		rating: 0,
 	};
 	job.outlook = outlook;
 	return outlook;
--- a/packages/core/src/jobs/order/order-jobs.ts
+++ b/packages/core/src/jobs/order/order-jobs.ts
@@ -1,19 +1,17 @@
-import {addResources} from '../placement/add-resources.js';
 import {measureDominantResource} from '../placement/measure-dominant-resource.js';
 import {type Resources} from '../state/configuration-schema.js';
 import {type ActiveJob, type Scheduler} from '../state/scheduler.js';
+import {averageUsage} from './average-usage.js';
 import {computeShares} from './compute-shares.js';
 import {type JobOutlook} from './job-outlook.js';
 import {measureOutlook} from './measure-outlook.js';
-import {measureUsage, type ServiceUsage} from './measure-usage.js';
+import {measureUsage} from './measure-usage.js';
 import {rateJob} from './rate-job.js';
 
-type RatedJob = {readonly job: ActiveJob; readonly outlook: JobOutlook; readonly rating: number};
+/** Usage of an organisation, in thousandths of a core by the dominant resource, as it grows in the order of placement. */
+type Balance = {used: number; readonly share: number};
 
-/** Usage of the organisations of a service, in thousandths of a core, as it grows in the order of placement. */
-type Account = {readonly capacity: Resources; readonly shares: ReadonlyMap<string, {readonly share: number}>; readonly used: Map<string, number>};
-
-const nothing: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+type Account = {readonly capacity: Resources; readonly balances: ReadonlyMap<string, Balance>};
 
 /**
  * Orders waiting jobs for placement: long-running jobs, jobs of organisations that use less than their share of the
@@ -29,83 +27,110 @@
  * orderJobs(scheduler, waiting, now);
  */
 export function orderJobs(scheduler: Scheduler, jobs: readonly ActiveJob[], now: number): ActiveJob[] {
-	const rated = jobs.map((job): RatedJob => {
+	const outlooks: JobOutlook[] = [];
+	for (const job of jobs) {
 		const outlook = measureOutlook(scheduler, job, now);
-		return {job, outlook, rating: rateJob(outlook, now - job.acceptedAt)};
-	}).toSorted(compareJobs);
-	const accounts = openAccounts(scheduler, rated, now);
-	const longRunning: ActiveJob[] = [];
-	const within: ActiveJob[] = [];
+		outlook.rating = outlook.isLongRunning ? 1 : rateJob(outlook, now - job.acceptedAt);
+		outlooks.push(outlook);
+	}
+
+	const accounts = openAccounts(scheduler, outlooks, now);
+	outlooks.sort(compareOutlooks);
+	const ordered: ActiveJob[] = [];
 	const beyond: ActiveJob[] = [];
 	const useless: ActiveJob[] = [];
-	for (const {job, outlook, rating} of rated) {
-		const isWithinShare = chargeAccount(accounts.get(outlook.service), job, outlook);
-		if (outlook.isLongRunning) {
-			longRunning.push(job);
-		} else if (rating === 0) {
-			useless.push(job);
-		} else if (isWithinShare) {
-			within.push(job);
+	for (const outlook of outlooks) {
+		const isWithinShare = accounts.size === 0 || chargeAccount(accounts.get(outlook.service), outlook);
+		if (outlook.rating === 0) {
+			useless.push(outlook.job);
+		} else if (isWithinShare || outlook.isLongRunning) {
+			ordered.push(outlook.job);
 		} else {
-			beyond.push(job);
+			beyond.push(outlook.job);
 		}
 	}
 
-	return [...longRunning, ...within, ...beyond, ...useless];
+	return [...ordered, ...beyond, ...useless];
 }
 
 /** Long-running jobs first, then jobs of use, then by priority and rating; the older one of equal jobs. */
-function compareJobs(left: RatedJob, right: RatedJob): number {
-	return Number(right.outlook.isLongRunning) - Number(left.outlook.isLongRunning)
-		|| Number(left.rating === 0) - Number(right.rating === 0)
-		|| left.outlook.priority - right.outlook.priority
-		|| right.rating - left.rating
-		|| left.job.acceptedAt - right.job.acceptedAt;
-}
+function compareOutlooks(left: JobOutlook, right: JobOutlook): number {
+	if (left.isLongRunning !== right.isLongRunning) {
+		return left.isLongRunning ? -1 : 1;
+	}
 
-/** Opens accounts for the services on which organisations compete. */
-function openAccounts(scheduler: Scheduler, rated: readonly RatedJob[], now: number): Map<string, Account> {
-	const waiting = new Map<string, Map<string, Resources>>();
-	for (const {job, outlook} of rated) {
-		const {organisation} = job.definition;
-		const byOrganisation = waiting.get(outlook.service) ?? new Map<string, Resources>();
-		waiting.set(outlook.service, byOrganisation);
-		byOrganisation.set(organisation, addResources(byOrganisation.get(organisation) ?? nothing, outlook.waiting));
+	if (left.rating === 0 !== (right.rating === 0)) {
+		return left.rating === 0 ? 1 : -1;
 	}
 
-	const organisations = new Map(scheduler.configuration.organisations.map(organisation => [organisation.name, organisation]));
-	const usages: ReadonlyMap<string, ServiceUsage> = organisations.size < 2 ? new Map() : measureUsage(scheduler, now);
+	return left.priority - right.priority || right.rating - left.rating || left.acceptedAt - right.acceptedAt;
+}
+
+/** Opens accounts for the services on which organisations compete. */
+function openAccounts(scheduler: Scheduler, outlooks: readonly JobOutlook[], now: number): Map<string, Account> {
 	const accounts = new Map<string, Account>();
 	scheduler.contention.clear();
-	for (const [service, byOrganisation] of waiting) {
+	const organisations = new Map(scheduler.configuration.organisations.map(organisation => [organisation.name, organisation]));
+	if (organisations.size < 2) {
+		return accounts;
+	}
+
+	const usages = measureUsage(scheduler, now);
+	averageUsage(scheduler, usages, now);
+	for (const [service, waiting] of addWaitingResources(outlooks)) {
 		const usage = usages.get(service);
-		const shares = usage === undefined ? undefined : computeShares(usage, byOrganisation, organisations);
+		const shares = usage === undefined ? undefined : computeShares(usage, waiting, organisations);
 		if (usage === undefined || shares === undefined) {
 			continue;
 		}
 
+		const means = scheduler.meanUsage.get(service);
+		const balances = new Map<string, Balance>();
+		for (const [name, {used, share}] of shares.organisations) {
+			balances.set(name, {used: Math.min(used, means?.get(name) ?? used), share});
+		}
+
 		scheduler.contention.set(service, shares);
-		accounts.set(service, {
-			capacity: usage.capacity,
-			shares: shares.organisations,
-			used: new Map([...shares.organisations].map(([name, {used}]) => [name, used])),
-		});
+		accounts.set(service, {capacity: usage.capacity, balances});
 	}
 
 	return accounts;
 }
 
+/** Adds up the resources of the ready tasks that wait, by service and organisation. */
+function addWaitingResources(outlooks: readonly JobOutlook[]): Map<string, Map<string, Resources>> {
+	const byService = new Map<string, Map<string, Resources>>();
+	for (const {service, organisation, waiting} of outlooks) {
+		const byOrganisation = byService.get(service) ?? new Map<string, Resources>();
+		byService.set(service, byOrganisation);
+		const sum = byOrganisation.get(organisation);
+		if (sum === undefined) {
+			byOrganisation.set(organisation, {...waiting});
+		} else {
+			sum.cpuMillis += waiting.cpuMillis;
+			sum.memoryMb += waiting.memoryMb;
+			sum.accelerators += waiting.accelerators;
+		}
+	}
+
+	return byService;
+}
+
 /**
  * Adds the waiting tasks of a job to the usage of its organisation, and tells whether that was below its share before.
  * A job counts as a whole: otherwise an organisation whose share is smaller than one task would never be within it.
  */
-function chargeAccount(account: Account | undefined, {definition}: ActiveJob, {waiting}: JobOutlook): boolean {
-	if (account === undefined) {
+function chargeAccount(account: Account | undefined, {organisation, waiting}: JobOutlook): boolean {
+	const balance = account?.balances.get(organisation);
+	if (account === undefined || balance === undefined) {
 		return true;
 	}
 
-	const {organisation} = definition;
-	const used = account.used.get(organisation) ?? 0;
-	account.used.set(organisation, used + measureDominantResource(waiting, account.capacity));
-	return used < (account.shares.get(organisation)?.share ?? 0);
+	const {used, share} = balance;
+	if (used >= share) {
+		return false;
+	}
+
+	balance.used = used + measureDominantResource(waiting, account.capacity);
+	return true;
 }
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -2,6 +2,7 @@
 import {type Resources} from '../state/configuration-schema.js';
 import {maximumPlacementFailures} from '../state/constants.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {isWithinLimit} from '../order/is-within-limit.js';
 import {isStepReady} from '../state/is-step-ready.js';
 import {isUnassigned} from '../state/is-unassigned.js';
 import {measureUnreconciledUsage} from '../order/measure-unreconciled-usage.js';
@@ -11,6 +12,7 @@
 import {
 	type ActiveJob, type Task, type Scheduler, type StepState, type TaskGroup, type Worker,
 } from '../state/scheduler.js';
+import {getReservedResources} from './get-reserved-resources.js';
 import {reserveWorker} from './reserve-worker.js';
 import {type OrderBudget, placeIsolatedGroups} from './place-isolated-groups.js';
 import {placeGroup} from './place-group.js';
@@ -55,6 +57,7 @@
 
 	const schedulable = listSchedulableWorkers(scheduler, now);
 	const failures = new Map<string, number>();
+	const limitFailures = new Map<string, number>();
 	const ordered = orderJobs(scheduler, waiting, now);
 	logOrder(context);
 	placeIsolatedGroups(context, {jobs: ordered, schedulable, budget});
@@ -63,12 +66,19 @@
 			return;
 		}
 
-		const {service} = findQueuePolicy(scheduler, job);
+		const {organisation} = job.definition;
+		const service = job.outlook?.service ?? findQueuePolicy(scheduler, job).service;
 		const workers = schedulable.get(service) ?? [];
-		if (workers.length > 0 && (failures.get(service) ?? 0) < maximumPlacementFailures) {
+		if (workers.length > 0 && (failures.get(service) ?? 0) < maximumPlacementFailures && (limitFailures.get(organisation) ?? 0) < maximumPlacementFailures) {
 			const unplaced = placeJob(context, job, {workers, budget});
-			failures.set(service, (failures.get(service) ?? 0) + unplaced.length);
 			for (const group of unplaced) {
+				// An organisation at its upper limit must not keep the others from the service.
+				if (isWithinLimit(scheduler, job, getReservedResources(group.definition))) {
+					failures.set(service, (failures.get(service) ?? 0) + 1);
+				} else {
+					limitFailures.set(organisation, (limitFailures.get(organisation) ?? 0) + 1);
+				}
+
 				if (group.definition.longRunning) {
 					reserveWorker(context, group, workers);
 				}
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -67,7 +67,7 @@
 /** Delay before a failed task is started again, so that reports of other failures arrive first. */
 export const restartDelayMs = 50;
 
-/** Failed placements after which no more jobs of a service are tried in the same round; bounds the work when the service is full. */
+/** Failed placements after which no more jobs of a service, or of an organisation at its upper limit, are tried in the same round; bounds the work when the service is full. */
 export const maximumPlacementFailures = 12;
 
 /** Multiple of its objective beyond which a late job is of no use to its caller. */
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -54,6 +54,8 @@
 		unreconciledByOrganisation: new Map(),
 		meanWorkByQueue: new Map(),
 		contention: new Map(),
+		meanUsage: new Map(),
+		meanUsageAt: now,
 		orderLogDueAt: now,
 		dirtyJobs: new Set(),
 		holdersDirty: false,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -284,6 +284,10 @@
 	readonly meanWorkByQueue: Map<string, number>;
 	/** Shares of the organisations on each service for which they compete, as of the last decision on the order. */
 	readonly contention: Map<string, ServiceShares>;
+	/** Mean usage of each service by organisation over the last seconds, in thousandths of a core by the dominant resource; lost at a takeover. */
+	meanUsage: ReadonlyMap<string, ReadonlyMap<string, number>>;
+	/** Local time at which `meanUsage` was last updated. */
+	meanUsageAt: number;
 	/** Local time from which the next decision on the order may be logged. */
 	orderLogDueAt: number;
 	/** Jobs with changes that are not written yet. */
