--- a/packages/cli/src/fleet/describe-wait.test.ts
+++ b/packages/cli/src/fleet/describe-wait.test.ts
@@ -26,6 +26,7 @@
 		// Key: occurrence.step; value: positions of the finished tasks.
 		const [first, second] = describeWait({...record, progress: {done: Object.fromEntries([['0.0', [1]]]), failures: {}}}, options);
 		assert.match(first ?? '', /step 0: 2 of 3 tasks are not done/);
+		assert.match(first ?? '', /share of north/);
 		assert.match(second ?? '', /step 1: waits for step 0/);
 	});
 
--- a/packages/cli/src/fleet/describe-wait.ts
+++ b/packages/cli/src/fleet/describe-wait.ts
@@ -53,7 +53,7 @@
 
 			lines.push(blockingSteps.length > 0
 				? `Occurrence ${occurrence}, step ${step}: waits for step ${blockingSteps.join(' and ')}.`
-				: `Occurrence ${occurrence}, step ${step}: ${remaining[step]} of ${count} tasks are not done; they run, or wait for room, for the limit of ${job.organisation || 'their organisation'} or for a worker's lease.`);
+				: `Occurrence ${occurrence}, step ${step}: ${remaining[step]} of ${count} tasks are not done; they run, or wait for room, for the limit or the share of ${job.organisation || 'their organisation'} (event 645), or for a worker's lease.`);
 		}
 	}
 
--- a/packages/testing/src/jobs/count-outcomes.ts
+++ b/packages/testing/src/jobs/count-outcomes.ts
@@ -1,3 +1,4 @@
+import {measureTrueWork} from './measure-true-work.js';
 import {type SimulatedJob} from './order-simulation.js';
 
 export type Outcomes = {jobs: number; timely: number; late: number; useless: number; worth: number};
@@ -38,22 +39,3 @@
 	outcomes.worth /= owed;
 	return outcomes;
 }
-
-/**
- * Adds up the true run times of a job, times its cores.
- *
- * @param simulated - the job
- * @returns thousandths of a core times milliseconds
- * @example
- * measureTrueWork(simulated);
- */
-export function measureTrueWork({job, durationsMs}: SimulatedJob): number {
-	let work = 0;
-	for (const [position, {cpuMillis}] of job.steps.entries()) {
-		for (const durationMs of durationsMs[position] ?? []) {
-			work += cpuMillis * durationMs;
-		}
-	}
-
-	return work;
-}
--- a/packages/testing/src/jobs/order-of-jobs.test.ts
+++ b/packages/testing/src/jobs/order-of-jobs.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {comparedOrders} from './compared-orders.js';
-import {countOutcomes, measureTrueWork} from './count-outcomes.js';
+import {countOutcomes} from './count-outcomes.js';
 import {createBurst, type QueueLoad} from './create-burst.js';
 import {createConfiguration, createWorkers} from './create-fleet.js';
+import {measureTrueWork} from './measure-true-work.js';
 import {type JobOrder, OrderSimulation} from './order-simulation.js';
 
 const seeds = [1, 2, 3, 4];
--- a/packages/testing/src/jobs/order-simulation.ts
+++ b/packages/testing/src/jobs/order-simulation.ts
@@ -24,22 +24,22 @@
 export type SimulatedJob = {
 	readonly job: Job;
 	/** True run time of each task in milliseconds, by step. */
-	readonly durationsMs: readonly (readonly number[])[];
+	readonly durationsMs: ReadonlyArray<readonly number[]>;
 	readonly objectiveMs: number;
 };
 
-/** Latency of each job in milliseconds; infinite if it was not done when the simulation ended. */
-export type SimulatedLatencies = ReadonlyMap<string, number>;
-
 /**
  * Simulation of one pool on which tasks are placed in a given order; no orders are lost and no worker fails.
  */
 export class OrderSimulation {
 	readonly scheduler: Scheduler;
+	/** Latency of each job that is done, in milliseconds. */
 	readonly latencies = new Map<string, number>();
 	now = 0;
 	readonly #jobs: readonly SimulatedJob[];
 	readonly #order: JobOrder;
+	/** True run times of the tasks of each job, by step. */
+	readonly #durations: ReadonlyMap<string, SimulatedJob['durationsMs']>;
 	readonly #running = new Map<Task, number>();
 	#submitted = 0;
 
@@ -47,6 +47,7 @@
 		const {configuration, workers, jobs, order} = options;
 		this.#order = order;
 		this.#jobs = jobs.toSorted((left, right) => left.job.acceptedAtMs - right.job.acceptedAtMs);
+		this.#durations = new Map(jobs.map(({job, durationsMs}) => [job.id, durationsMs]));
 		this.scheduler = createScheduler({term: 1, now: 0, configuration});
 		for (const listing of workers) {
 			const worker = createWorker({...listing, now: 0});
@@ -126,13 +127,6 @@
 	#findDuration({group, index}: Task): number {
 		return this.#durations.get(group.job.definition.id)?.[group.step]?.[index] ?? 0;
 	}
-
-	get #durations(): ReadonlyMap<string, SimulatedJob['durationsMs']> {
-		this.#durationCache ??= new Map(this.#jobs.map(({job, durationsMs}) => [job.id, durationsMs]));
-		return this.#durationCache;
-	}
-
-	#durationCache: ReadonlyMap<string, SimulatedJob['durationsMs']> | undefined;
 }
 
 function listReadyTasks(job: ActiveJob): Task[] {
--- a/packages/testing/src/jobs/shares-of-organisations.test.ts
+++ b/packages/testing/src/jobs/shares-of-organisations.test.ts
@@ -17,23 +17,25 @@
 const organisations = inverses.map((inverse, position) => ({
 	name: `o${position}`, keys: [], weight: jobsPerSecond * inverse / inverses.reduce((sum, value) => sum + value, 0),
 }));
-const hotNames: readonly string[] = ['o4', 'o9'];
+const hotNames: ReadonlySet<string> = new Set(['o4', 'o9']);
 const giantName = 'o1';
 
 function createLoad(seed: number, isDisturbed: boolean): SimulatedJob[] {
 	return organisations.flatMap(({name, weight}, position) => {
-		const isOther = !hotNames.includes(name) && name !== giantName;
-		return isOther || isDisturbed ? createBurst({
-			seed: (seed * 100) + position,
-			load: {
-				jobsPerSecond: weight, steps: 1.6, tasks: 8 * (name === giantName ? giantFactor : 1), taskMs: 1000, cpuMillis: 1500,
-			},
-			rate: () => usualLoad * (hotNames.includes(name) ? hotLoad : 1),
-			durationMs: 12_000,
-			organisation: () => name,
-			name: `${name}-`,
-			hasTrueObjective: true,
-		}) : [];
+		const isOther = !hotNames.has(name) && name !== giantName;
+		return isOther || isDisturbed
+			? createBurst({
+				seed: (seed * 100) + position,
+				load: {
+					jobsPerSecond: weight, steps: 1.6, tasks: 8 * (name === giantName ? giantFactor : 1), taskMs: 1000, cpuMillis: 1500,
+				},
+				rate: () => usualLoad * (hotNames.has(name) ? hotLoad : 1),
+				durationMs: 12_000,
+				organisation: () => name,
+				name: `${name}-`,
+				hasTrueObjective: true,
+			})
+			: [];
 	});
 }
 
@@ -46,7 +48,7 @@
 			configuration: createConfiguration({organisations}), workers: createWorkers(30), jobs, order,
 		});
 		simulation.runUntil(30_000);
-		count += jobs.filter(({job, objectiveMs}) => !hotNames.includes(job.organisation) && job.organisation !== giantName && (simulation.latencies.get(job.id) ?? Number.POSITIVE_INFINITY) <= objectiveMs).length;
+		count += jobs.filter(({job, objectiveMs}) => !hotNames.has(job.organisation) && job.organisation !== giantName && (simulation.latencies.get(job.id) ?? Number.POSITIVE_INFINITY) <= objectiveMs).length;
 	}
 
 	return count;
