--- a/packages/core/src/jobs/order/job-outlook.ts
+++ b/packages/core/src/jobs/order/job-outlook.ts
@@ -5,7 +5,8 @@
 export type JobOutlook = {
 	readonly job: ActiveJob;
 	readonly organisation: string;
-	readonly acceptedAt: number;
+	/** Local time from which the objective counts: acceptance, or the due time of the current occurrence of a scheduled job. */
+	readonly dueAt: number;
 	/** Number of changes to the job when this was measured. */
 	readonly changes: number;
 	readonly configuration: Configuration;
@@ -13,7 +14,7 @@
 	readonly service: string;
 	readonly priority: number;
 	readonly isLongRunning: boolean;
-	/** Latency objective, in milliseconds from acceptance. */
+	/** Latency objective, in milliseconds from `dueAt`. */
 	readonly objectiveMs: number;
 	/** Critical path through the steps with work left, in milliseconds. */
 	readonly remainingMs: number;
--- a/packages/core/src/jobs/order/measure-outlook.ts
+++ b/packages/core/src/jobs/order/measure-outlook.ts
@@ -41,7 +41,7 @@
 	const outlook: JobOutlook = {
 		job,
 		organisation: job.definition.organisation,
-		acceptedAt: job.acceptedAt,
+		dueAt: job.acceptedAt + findDelay(job),
 		changes: job.changes,
 		configuration: scheduler.configuration,
 		measuredAt: now,
@@ -58,6 +58,12 @@
 	return outlook;
 }
 
+/** Time from the acceptance of a job to the due time of its current occurrence, in milliseconds. */
+function findDelay({definition, completedOccurrences}: ActiveJob): number {
+	const {repeatCount, startAtMs, intervalMs, acceptedAtMs} = definition;
+	return repeatCount === 0 ? 0 : Math.max(0, startAtMs + (completedOccurrences * intervalMs) - acceptedAtMs);
+}
+
 function updateMeanWork({meanWorkByQueue}: Scheduler, {definition}: ActiveJob, work: number): number {
 	const previous = meanWorkByQueue.get(definition.queue) ?? work;
 	const mean = previous + (meanWorkGain * (work - previous));
--- a/packages/core/src/jobs/order/order-jobs.ts
+++ b/packages/core/src/jobs/order/order-jobs.ts
@@ -30,7 +30,7 @@
 	const outlooks: JobOutlook[] = [];
 	for (const job of jobs) {
 		const outlook = measureOutlook(scheduler, job, now);
-		outlook.rating = outlook.isLongRunning ? 1 : rateJob(outlook, now - job.acceptedAt);
+		outlook.rating = outlook.isLongRunning ? 1 : rateJob(outlook, now - outlook.dueAt);
 		outlooks.push(outlook);
 	}
 
@@ -63,7 +63,7 @@
 		return left.rating === 0 ? 1 : -1;
 	}
 
-	return left.priority - right.priority || right.rating - left.rating || left.acceptedAt - right.acceptedAt;
+	return left.priority - right.priority || right.rating - left.rating || left.dueAt - right.dueAt;
 }
 
 /** Opens accounts for the services on which organisations compete. */
--- a/packages/core/src/jobs/order/rate-job.ts
+++ b/packages/core/src/jobs/order/rate-job.ts
@@ -14,10 +14,10 @@
  * Rates a job by the value that its caller gets for each unit of work that is still to be placed.
  *
  * @param outlook - outlook of the job
- * @param ageMs - time since the acceptance of the job, in milliseconds
+ * @param ageMs - time since the objective of the job began to count, in milliseconds
  * @returns the rating; 0 if the job is no longer of use, otherwise higher for jobs that go first
  * @example
- * rateJob(outlook, now - job.acceptedAt);
+ * rateJob(outlook, now - outlook.dueAt);
  */
 export function rateJob(outlook: JobOutlook, ageMs: number): number {
 	const {objectiveMs, remainingMs, value, waitingWork} = outlook;
