--- a/packages/core/src/jobs/runs/assign-task.ts
+++ b/packages/core/src/jobs/runs/assign-task.ts
@@ -24,5 +24,6 @@
 	task.worker = worker;
 	task.run = run;
 	task.state = state;
+	task.measurement = undefined;
 	task.group.run = Math.max(task.group.run, run);
 }
--- a/packages/core/src/jobs/runs/handle-report.ts
+++ b/packages/core/src/jobs/runs/handle-report.ts
@@ -1,4 +1,5 @@
 import {type RunningTask, type WorkerReport} from '../state/event.js';
+import {beginMeasurement} from '../estimates/begin-measurement.js';
 import {dismissLoss} from '../crashes/dismiss-loss.js';
 import {throttleBestEffortTasks} from '../placement/throttle-best-effort-tasks.js';
 import {type ReducerContext} from '../state/reducer-context.js';
@@ -11,6 +12,9 @@
 import {releaseTask} from './release-task.js';
 import {stopTask} from './stop-task.js';
 
+/** Time within which a worker answers a request for a report that has something to report at once. */
+const promptAnswerMs = 30;
+
 /**
  * Processes a worker's report: tasks that have ended, tasks that are running, and tasks that are missing from it.
  *
@@ -22,12 +26,13 @@
  */
 export function handleReport(context: ReducerContext, worker: Worker, answer: {requestedAt: number; report: WorkerReport}): void {
 	const {requestedAt, report} = answer;
+	const uncertaintyMs = measureEndUncertainty(context, worker, requestedAt);
 	recordResponse(context, worker, answer);
 	openReportedOccurrences(context, report);
 	dismissLoss(worker);
 	for (const ended of report.ended) {
 		if (ended.number > worker.receivedEndNumber) {
-			handleTaskEnd(context, worker, ended);
+			handleTaskEnd(context, worker, ended, {uncertaintyMs});
 		}
 	}
 
@@ -63,6 +68,14 @@
 	worker.reportDueAt = context.now;
 }
 
+/**
+ * Measures how long ago the ends in a report may have occurred. The worker answers a pending request as soon as a task
+ * ends, so an answer that takes longer than a call shows an end at once; otherwise it may date from the time without a pending request.
+ */
+function measureEndUncertainty({now}: ReducerContext, worker: Worker, requestedAt: number): number {
+	return now - requestedAt > promptAnswerMs ? 0 : Math.max(0, requestedAt - Math.max(worker.reportAnsweredAt, worker.locatedAt));
+}
+
 function recordResponse(context: ReducerContext, worker: Worker, {requestedAt, report}: {requestedAt: number; report: WorkerReport}): void {
 	worker.reportAnsweredAt = context.now;
 	if (worker.startedAtMs === report.startedAtMs) {
@@ -138,6 +151,7 @@
 	const {group} = task;
 	if (task.state === 'starting') {
 		task.state = 'running';
+		beginMeasurement(task, context.now);
 		task.expectedInReportsFrom = context.now;
 		task.progressedAt = context.now;
 	}
--- a/packages/core/src/jobs/runs/handle-start-answer.ts
+++ b/packages/core/src/jobs/runs/handle-start-answer.ts
@@ -1,6 +1,7 @@
 import {
 	initialBackoffMs, failureThreshold, maximumStartOrders, orderRetryMs,
 } from '../state/constants.js';
+import {beginMeasurement} from '../estimates/begin-measurement.js';
 import {type OrderAnswer, type OrderOutcome} from '../state/event.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Task, type Worker} from '../state/scheduler.js';
@@ -14,6 +15,7 @@
 const handlers: Record<Exclude<OrderOutcome, 'fenced'>, (context: ReducerContext, task: Task, worker: Worker) => void> = {
 	accepted(context, task) {
 		task.state = 'running';
+		beginMeasurement(task, context.now);
 		task.expectedInReportsFrom = context.now;
 		task.progressedAt = context.now;
 		task.group.job.started = true;
--- a/packages/core/src/jobs/runs/handle-task-end.ts
+++ b/packages/core/src/jobs/runs/handle-task-end.ts
@@ -4,6 +4,7 @@
 import {clearSuspicion} from '../crashes/clear-suspicion.js';
 import {completeTaskGroup} from '../state/complete-task-group.js';
 import {type EndedTask, type TaskOutcome} from '../state/event.js';
+import {recordRunTime} from '../estimates/record-run-time.js';
 import {failJob} from '../state/fail-job.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {type ReducerContext} from '../state/reducer-context.js';
@@ -59,10 +60,12 @@
  * @param context - the reducer context; its state is changed
  * @param worker - the worker
  * @param ended - the reported end
+ * @param options - how long before now the run may have ended, in milliseconds
  * @example
  * handleTaskEnd(context, worker, {number: 1, task, run: 1, end: 'done', checkpoint: ''});
  */
-export function handleTaskEnd(context: ReducerContext, worker: Worker, ended: EndedTask): void {
+export function handleTaskEnd(context: ReducerContext, worker: Worker, ended: EndedTask, options: {uncertaintyMs?: number} = {}): void {
+	const {uncertaintyMs = 0} = options;
 	const task = context.scheduler.tasks.get(ended.task);
 	if (task === undefined) {
 		return;
@@ -76,6 +79,10 @@
 	}
 
 	if (task.worker === worker && task.run === ended.run) {
+		if (ended.end === 'done') {
+			recordRunTime(context, task, {worker, isSlow: false, uncertaintyMs});
+		}
+
 		releaseTask(context, task);
 	}
 
--- a/packages/core/src/jobs/runs/release-task.ts
+++ b/packages/core/src/jobs/runs/release-task.ts
@@ -38,6 +38,8 @@
 	task.startOrders = 0;
 	task.openStartOrders = 0;
 	task.percent = 0;
+	task.measurement = undefined;
+	group.job.runTimes[group.step]?.projected.delete(task);
 	task.speedLimitPercent = 100;
 	if (group.job.cancelled && !hasAssignedTasks(context, group.job.definition.id)) {
 		scheduler.dirtyJobs.add(group.job);
--- a/packages/core/src/jobs/state/create-active-job.ts
+++ b/packages/core/src/jobs/state/create-active-job.ts
@@ -17,6 +17,7 @@
 		acceptedAt,
 		recovered,
 		occurrences: new Map(),
+		runTimes: [],
 		nextOccurrence: 0,
 		completedOccurrences: 0,
 		started: false,
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -2,6 +2,7 @@
 import {
 	initialOrderWindow, leaseSlackMs, longestTaskLeaseMs, taskLeaseMs, slowestClockRate,
 } from './constants.js';
+import {createEstimates} from '../estimates/create-estimates.js';
 import {createWorker} from './create-worker.js';
 import {type LeaseHolder, type Scheduler} from './scheduler.js';
 
@@ -69,6 +70,7 @@
 		movesDueAt: 0,
 		waves: new Map(),
 		dirtyWaves: new Set(),
+		estimates: createEstimates(),
 	};
 	for (const holder of holders) {
 		const worker = createWorker({...holder, now});
--- a/packages/core/src/jobs/state/open-occurrences.ts
+++ b/packages/core/src/jobs/state/open-occurrences.ts
@@ -90,5 +90,6 @@
 		progressedAt: 0,
 		speedLimitPercent: 100,
 		speedLimitChangedAt: 0,
+		measurement: undefined,
 	};
 }
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -3,6 +3,7 @@
  * in milliseconds, and fields that end in `AtMs` are wall-clock times in milliseconds since 1970. `clockMs` and
  * `leaseUntilMs` are on the worker's own clock.
  */
+import {type Estimates, type RunMeasurement, type StepRunTimes} from '../estimates/estimates.js';
 import {type OrderWindow} from '../runs/order-window.js';
 import {type Configuration, type Resources} from './configuration-schema.js';
 import {
@@ -139,6 +140,8 @@
 	/** Speed limit of a best-effort task, in percent of full speed. */
 	speedLimitPercent: number;
 	speedLimitChangedAt: number;
+	/** Measurement of its run time; undefined while it is not measured. */
+	measurement: RunMeasurement | undefined;
 };
 
 /** Tasks that are placed and retried together: a single task, or all tasks of a gang. */
@@ -195,6 +198,8 @@
 	/** The job was accepted before this owner took over; a former owner may have started tasks of it. */
 	readonly recovered: boolean;
 	readonly occurrences: Map<number, StepState[]>;
+	/** Run times by the position of the step. */
+	readonly runTimes: Array<StepRunTimes | undefined>;
 	nextOccurrence: number;
 	completedOccurrences: number;
 	started: boolean;
@@ -296,4 +301,5 @@
 	movesDueAt: number;
 	readonly waves: Map<number, Wave>;
 	readonly dirtyWaves: Set<Wave>;
+	readonly estimates: Estimates;
 };
