--- /dev/null
+++ b/packages/core/src/jobs/estimates/find-peer-run-time.ts
@@ -0,0 +1,44 @@
+import {type Scheduler, type Task} from '../state/scheduler.js';
+import {computeMedian} from './compute-median.js';
+import {getStepRunTimes} from './get-step-run-times.js';
+import {predictStep} from './predict-step.js';
+
+/** Tasks of the same step on other workers from which these alone are the reference. */
+const minimumPeers = 2;
+
+/** Largest variance of a prediction that a run is compared with, in log space; a larger one could pass for a slow worker. */
+const maximumVariance = 0.1;
+
+/**
+ * Finds the run time that a run is compared with: that of tasks of the same step on other workers or, without these,
+ * what was learned of other steps.
+ *
+ * @param scheduler - the state
+ * @param task - the task
+ * @returns logarithm of the run time in milliseconds; undefined if there is nothing to compare with
+ * @example
+ * findPeerRunTime(scheduler, task);
+ */
+export function findPeerRunTime(scheduler: Scheduler, task: Task): number | undefined {
+	const {job, step} = task.group;
+	const {ended, projected} = getStepRunTimes(job, step);
+	const values: number[] = [];
+	for (const {worker, value} of ended) {
+		if (worker !== task.worker?.id) {
+			values.push(value);
+		}
+	}
+
+	for (const [other, value] of projected) {
+		if (other.worker !== task.worker) {
+			values.push(value);
+		}
+	}
+
+	if (values.length >= minimumPeers) {
+		return computeMedian(values);
+	}
+
+	const predicted = predictStep(scheduler, job, step);
+	return predicted !== undefined && predicted.variance <= maximumVariance ? predicted.mean : undefined;
+}
--- /dev/null
+++ b/packages/core/src/jobs/estimates/judge-running-tasks.ts
@@ -0,0 +1,34 @@
+import {type ReducerContext} from '../state/reducer-context.js';
+import {type Task, type Worker} from '../state/scheduler.js';
+import {discardCachedEstimates} from './discard-cached-estimates.js';
+import {getSpeed} from './get-speed.js';
+import {isNearData} from './is-near-data.js';
+import {judgeRun} from './judge-run.js';
+import {recordJudgements} from './record-judgements.js';
+
+/**
+ * Judges the speed of a worker by the progress of its running tasks after a report.
+ *
+ * @param context - the reducer context; its state is changed
+ * @param worker - the worker
+ * @example
+ * judgeRunningTasks(context, worker);
+ */
+export function judgeRunningTasks(context: ReducerContext, worker: Worker): void {
+	const {scheduler, now} = context;
+	const {isSlow, suspectedAt} = getSpeed(scheduler.estimates, worker);
+	const judgements: Array<{task: Task; ratio: number}> = [];
+	for (const task of worker.tasks) {
+		if (task.measurement === undefined || !isNearData(task, worker)) {
+			continue;
+		}
+
+		const ratio = judgeRun(scheduler, task, {now, isDone: false, isSlow: isSlow || suspectedAt !== undefined});
+		if (ratio !== undefined) {
+			judgements.push({task, ratio});
+			discardCachedEstimates(task.group.job);
+		}
+	}
+
+	recordJudgements(context, worker, judgements);
+}
--- a/packages/core/src/jobs/placement/choose-workers.ts
+++ b/packages/core/src/jobs/placement/choose-workers.ts
@@ -1,3 +1,5 @@
+import {type Estimates} from '../estimates/estimates.js';
+import {splitBySpeed} from '../estimates/split-by-speed.js';
 import {type Resources} from '../state/configuration-schema.js';
 import {staleWorkerMs} from '../state/constants.js';
 import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
@@ -11,16 +13,26 @@
  *
  * @param group - the task group
  * @param stepState - the step that it belongs to
- * @param options - workers that may get new tasks, and the local time in milliseconds
+ * @param options - workers that may get new tasks, the local time in milliseconds, and what was learned of their speeds
  * @returns a worker for each task, or undefined unless all of them fit
  * @example
- * chooseWorkers(group, stepState, {candidates: workers, now});
+ * chooseWorkers(group, stepState, {candidates: workers, now, estimates: scheduler.estimates});
  */
-export function chooseWorkers(group: TaskGroup, stepState: StepState, options: {candidates: readonly Worker[]; now: number}): Worker[] | undefined {
-	const {candidates, now} = options;
+export function chooseWorkers(group: TaskGroup, stepState: StepState, options: {candidates: readonly Worker[]; now: number; estimates: Estimates}): Worker[] | undefined {
+	const {candidates, now, estimates} = options;
 	const eligible = candidates.filter(worker => isEligible(group, stepState, worker));
 	const preferred = eligible.filter(({id, lastSeenAt}) => !group.failedWorkers.has(id) && now - lastSeenAt < staleWorkerMs);
 	const workers = preferred.length > 0 ? preferred : eligible;
+	const {fast, slow} = splitBySpeed(estimates, workers, now);
+	// A step that only slow workers can run is not held back.
+	if (fast.length === 0) {
+		return chooseAmong(group, stepState, workers);
+	}
+
+	return chooseAmong(group, stepState, fast) ?? (slow.length > 0 ? chooseAmong(group, stepState, slow) : undefined);
+}
+
+function chooseAmong(group: TaskGroup, stepState: StepState, workers: readonly Worker[]): Worker[] | undefined {
 	if (group.tasks.length === 1) {
 		const chosen = chooseWorker(group, stepState, workers, []);
 		return chosen === undefined ? undefined : [chosen];
--- a/packages/core/src/jobs/placement/place-group.ts
+++ b/packages/core/src/jobs/placement/place-group.ts
@@ -29,7 +29,7 @@
 		return false;
 	}
 
-	const chosen = chooseWorkers(group, step, {candidates: workers, now: context.now});
+	const chosen = chooseWorkers(group, step, {candidates: workers, now: context.now, estimates: scheduler.estimates});
 	if (chosen === undefined) {
 		return false;
 	}
--- a/packages/core/src/jobs/placement/relocate-task.ts
+++ b/packages/core/src/jobs/placement/relocate-task.ts
@@ -45,7 +45,7 @@
 function hasRoomElsewhere({scheduler, now}: ReducerContext, task: Task, step: StepState): boolean {
 	const {service} = findQueuePolicy(scheduler, task.group.job);
 	const candidates = (listSchedulableWorkers(scheduler, now).get(service) ?? []).filter(worker => worker !== task.worker);
-	return chooseWorkers(task.group, step, {candidates, now}) !== undefined;
+	return chooseWorkers(task.group, step, {candidates, now, estimates: scheduler.estimates}) !== undefined;
 }
 
 /** Tells whether a group is not known to be running: being relocated, starting, or on a worker that has not answered lately. */
--- a/packages/core/src/jobs/runs/handle-report.ts
+++ b/packages/core/src/jobs/runs/handle-report.ts
@@ -1,5 +1,6 @@
 import {type RunningTask, type WorkerReport} from '../state/event.js';
 import {beginMeasurement} from '../estimates/begin-measurement.js';
+import {judgeRunningTasks} from '../estimates/judge-running-tasks.js';
 import {dismissLoss} from '../crashes/dismiss-loss.js';
 import {throttleBestEffortTasks} from '../placement/throttle-best-effort-tasks.js';
 import {type ReducerContext} from '../state/reducer-context.js';
@@ -64,6 +65,7 @@
 		}
 	}
 
+	judgeRunningTasks(context, worker);
 	throttleBestEffortTasks(context, worker, runningById);
 	worker.reportDueAt = context.now;
 }
--- a/packages/core/src/jobs/runs/handle-task-end.ts
+++ b/packages/core/src/jobs/runs/handle-task-end.ts
@@ -4,7 +4,7 @@
 import {clearSuspicion} from '../crashes/clear-suspicion.js';
 import {completeTaskGroup} from '../state/complete-task-group.js';
 import {type EndedTask, type TaskOutcome} from '../state/event.js';
-import {recordRunTime} from '../estimates/record-run-time.js';
+import {recordRun} from '../estimates/record-run.js';
 import {failJob} from '../state/fail-job.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {type ReducerContext} from '../state/reducer-context.js';
@@ -80,7 +80,7 @@
 
 	if (task.worker === worker && task.run === ended.run) {
 		if (ended.end === 'done') {
-			recordRunTime(context, task, {worker, isSlow: false, uncertaintyMs});
+			recordRun(context, task, {worker, uncertaintyMs});
 		}
 
 		releaseTask(context, task);
--- a/packages/core/src/jobs/runs/handle-worker-restart.ts
+++ b/packages/core/src/jobs/runs/handle-worker-restart.ts
@@ -1,5 +1,6 @@
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Worker} from '../state/scheduler.js';
+import {forgetIncarnation} from '../estimates/forget-incarnation.js';
 import {releaseLostTasks} from './release-lost-tasks.js';
 import {restartWorkerClock} from './restart-worker-clock.js';
 
@@ -25,6 +26,7 @@
 
 	releaseLostTasks(context, worker, 'worker-restarted', tasks.filter(({openStartOrders, expectedInReportsFrom}) => openStartOrders === 0 && expectedInReportsFrom <= requestedAt));
 
+	forgetIncarnation(context.scheduler.estimates, worker);
 	worker.receivedEndNumber = 0;
 	worker.committedEndNumber = 0;
 	worker.acknowledgedEndNumber = 0;
--- a/packages/core/src/jobs/runs/supervise-workers.ts
+++ b/packages/core/src/jobs/runs/supervise-workers.ts
@@ -1,6 +1,7 @@
 import {
 	crashDetectionMs, orderRetryMs, reportWaitMs, longRunningStartupTimeoutMs, stallTimeoutMs,
 } from '../state/constants.js';
+import {confirmSlowWorkers} from '../estimates/confirm-slow-workers.js';
 import {forgetCrashes} from '../crashes/forget-crashes.js';
 import {isHarmless} from '../crashes/is-harmless.js';
 import {type ReducerContext} from '../state/reducer-context.js';
@@ -23,6 +24,7 @@
  */
 export function superviseWorkers(context: ReducerContext): void {
 	const {scheduler, now} = context;
+	confirmSlowWorkers(context);
 	for (const worker of scheduler.workers.values()) {
 		if (now - scheduler.resumedAt < answerReadingMs) {
 			continue;
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -186,6 +186,12 @@
 	'worker-avoided': {
 		number: 625, level: 'warn', text: 'A worker failed several times in a row and receives no tasks for some time', action: 'Check the worker.',
 	},
+	'worker-slow': {
+		number: 650, level: 'warn', text: 'A worker is much slower than its peers; it receives single tasks, and only when no other worker has room. `speed` and `peerSpeed` are relative to the expected run times', action: 'Check the instance.',
+	},
+	'worker-speed-restored': {
+		number: 651, level: 'info', text: 'The tasks of a slow worker have run at the speed of its peers; it receives tasks like any other again', action: 'None.',
+	},
 	'worker-tasks-lost': {
 		number: 626, level: 'warn', text: 'The tasks of a worker ended without a report; they are started again', action: 'Check the worker.',
 	},
--- a/packages/testing/src/jobs/worker-model.ts
+++ b/packages/testing/src/jobs/worker-model.ts
@@ -55,6 +55,8 @@
 	listing: ListedWorker;
 	/** Rate of the worker's own clock, on which its lease is measured. */
 	clockRate = 1;
+	/** How many times as long as elsewhere the runs take that start now. */
+	slowdown = 1;
 	readonly #stopMs: number;
 	/** Virtual time at which the clock of the worker read 0. */
 	readonly #clockStartedAt: number;
@@ -112,7 +114,7 @@
 
 		this.#extendLease(leaseUntilMs, now);
 		this.#runs.set(task, {
-			task, run, startedAt: now, behaviour, stopAt: undefined,
+			task, run, startedAt: now, behaviour: {...behaviour, durationMs: behaviour.durationMs * this.slowdown}, stopAt: undefined,
 		});
 		this.#observer.taskStarted(this.listing.id, task, run, now);
 		return this.#answer('accepted', now);
