Compare suspected workers with the drift of what was learned

Cause: when the whole fleet becomes slower, runs that are compared with outdated run times looked slow beside runs that are compared with each other. Change: the drift of the peers' run times counts as well.

--- a/packages/core/src/jobs/estimates/confirm-slow-workers.ts
+++ b/packages/core/src/jobs/estimates/confirm-slow-workers.ts
@@ -48,7 +48,9 @@
 
 function decide({scheduler, now, effects}: ReducerContext, {worker, speed, suspectedAt}: {worker: Worker; speed: InstanceSpeed; suspectedAt: number}): void {
 	const {peers, count, slowCount} = listPeers(scheduler.workers.values(), worker, other => getSpeed(scheduler.estimates, other));
-	const ratios = peers.filter(({judgedAt}) => judgedAt >= suspectedAt).map(({ratio}) => ratio);
+	const present = peers.filter(({judgedAt}) => judgedAt >= suspectedAt);
+	const ratios = present.map(({ratio}) => ratio);
+	const drifts = present.map(({drift}) => drift).filter(drift => drift !== undefined);
 	const needed = Math.min(2, count);
 	if (needed === 0 || ratios.length < needed || !areRunsSlow(scheduler, worker, now)) {
 		if (now - suspectedAt > suspicionMs) {
@@ -58,7 +60,8 @@
 		return;
 	}
 
-	const ofPeers = computeMedian(ratios);
+	// When the whole fleet has become slower, peers that are compared with each other look normal, and what was learned is outdated.
+	const ofPeers = Math.max(computeMedian(ratios), computeMedian(drifts));
 	const ratio = computeMedian(speed.ratios) - ofPeers;
 	if (ratio < slowRatio || slowCount + 1 > Math.max(1, (count + 1) * maximumSlowFraction)) {
 		dropSuspicion(speed);
@@ -83,7 +86,7 @@
 	let count = 0;
 	let slowCount = 0;
 	for (const task of worker.tasks) {
-		const expected = task.measurement === undefined || task.state !== 'running' ? undefined : findPeerRunTime(scheduler, task);
+		const expected = task.measurement === undefined || task.state !== 'running' ? undefined : findPeerRunTime(scheduler, task)?.expected;
 		if (expected !== undefined && task.measurement !== undefined && now - task.measurement.startedAt >= computeInterval(expected)) {
 			count++;
 			slowCount += Number(task.measurement.isSlow);
--- a/packages/core/src/jobs/estimates/estimates.ts
+++ b/packages/core/src/jobs/estimates/estimates.ts
@@ -23,6 +23,8 @@
 	/** Local time of the last judgement, and its ratio of run time to that of peers, in log space. */
 	judgedAt: number;
 	ratio: number;
+	/** Ratio of run time to what was learned of other steps at the last judgement, in log space; undefined if unknown. */
+	drift: number | undefined;
 	/** The instance is known to be slow. */
 	isSlow: boolean;
 	/** Tasks that it may have while it is slow. */
--- a/packages/core/src/jobs/estimates/find-peer-run-time.ts
+++ b/packages/core/src/jobs/estimates/find-peer-run-time.ts
@@ -15,11 +15,11 @@
  *
  * @param scheduler - the state
  * @param task - the task
- * @returns logarithm of the run time in milliseconds; undefined if there is nothing to compare with
+ * @returns logarithms of the run time in milliseconds, and of what was learned of other steps if it is precise enough; undefined if there is nothing to compare with
  * @example
  * findPeerRunTime(scheduler, task);
  */
-export function findPeerRunTime(scheduler: Scheduler, task: Task): number | undefined {
+export function findPeerRunTime(scheduler: Scheduler, task: Task): {readonly expected: number; readonly predicted: number | undefined} | undefined {
 	const {job, step} = task.group;
 	const {ended, projected} = getStepRunTimes(job, step);
 	const values: number[] = [];
@@ -35,10 +35,8 @@
 		}
 	}
 
-	if (values.length >= minimumPeers) {
-		return computeMedian(values);
-	}
-
-	const predicted = predictStep(scheduler, job, step);
-	return predicted !== undefined && predicted.variance <= maximumVariance ? predicted.mean : undefined;
+	const prediction = predictStep(scheduler, job, step);
+	const predicted = prediction !== undefined && prediction.variance <= maximumVariance ? prediction.mean : undefined;
+	const expected = values.length >= minimumPeers ? computeMedian(values) : predicted;
+	return expected === undefined ? undefined : {expected, predicted};
 }
--- a/packages/core/src/jobs/estimates/get-speed.ts
+++ b/packages/core/src/jobs/estimates/get-speed.ts
@@ -26,7 +26,7 @@
 	}
 
 	const created: InstanceSpeed = {
-		evidence: 0, suspectedAt: undefined, ratios: [], judgedAt: Number.NEGATIVE_INFINITY, ratio: 0, isSlow: false, allowance: 0, pausedUntil: 0, slowAt: Number.NEGATIVE_INFINITY,
+		evidence: 0, suspectedAt: undefined, ratios: [], judgedAt: Number.NEGATIVE_INFINITY, ratio: 0, drift: undefined, isSlow: false, allowance: 0, pausedUntil: 0, slowAt: Number.NEGATIVE_INFINITY,
 	};
 	speeds.set(key, created);
 	return created;
--- a/packages/core/src/jobs/estimates/judge-running-tasks.ts
+++ b/packages/core/src/jobs/estimates/judge-running-tasks.ts
@@ -17,15 +17,15 @@
 export function judgeRunningTasks(context: ReducerContext, worker: Worker): void {
 	const {scheduler, now} = context;
 	const {isSlow, suspectedAt} = getSpeed(scheduler.estimates, worker);
-	const judgements: Array<{task: Task; ratio: number}> = [];
+	const judgements: Array<{task: Task; ratio: number; drift: number | undefined}> = [];
 	for (const task of worker.tasks) {
 		if (task.measurement === undefined || !isNearData(task, worker)) {
 			continue;
 		}
 
-		const ratio = judgeRun(scheduler, task, {now, isDone: false, isSlow: isSlow || suspectedAt !== undefined});
-		if (ratio !== undefined) {
-			judgements.push({task, ratio});
+		const judgement = judgeRun(scheduler, task, {now, isDone: false, isSlow: isSlow || suspectedAt !== undefined});
+		if (judgement !== undefined) {
+			judgements.push({task, ...judgement});
 			discardCachedEstimates(task.group.job);
 		}
 	}
--- a/packages/core/src/jobs/estimates/record-judgements.ts
+++ b/packages/core/src/jobs/estimates/record-judgements.ts
@@ -38,9 +38,9 @@
  * @param worker - the worker
  * @param judgements - tasks with the ratios of their run times to those of their peers, in log space
  * @example
- * recordJudgements(context, worker, [{task, ratio: Math.log(4)}]);
+ * recordJudgements(context, worker, [{task, ratio: Math.log(4), drift: undefined}]);
  */
-export function recordJudgements(context: ReducerContext, worker: Worker, judgements: ReadonlyArray<{readonly task: Task; readonly ratio: number}>): void {
+export function recordJudgements(context: ReducerContext, worker: Worker, judgements: ReadonlyArray<{readonly task: Task; readonly ratio: number; readonly drift: number | undefined}>): void {
 	if (judgements.length === 0) {
 		return;
 	}
@@ -49,6 +49,8 @@
 	const speed = getSpeed(scheduler.estimates, worker);
 	speed.judgedAt = now;
 	speed.ratio = computeMedian(judgements.map(({ratio}) => ratio));
+	const drifts = judgements.map(({drift}) => drift).filter(drift => drift !== undefined);
+	speed.drift = drifts.length === 0 ? undefined : computeMedian(drifts);
 	let change = 0;
 	let hasSlowRun = false;
 	for (const {task: {measurement}, ratio} of judgements) {
--- a/packages/core/src/jobs/estimates/record-run.ts
+++ b/packages/core/src/jobs/estimates/record-run.ts
@@ -20,9 +20,9 @@
 	const {worker} = options;
 	const {isSlow, suspectedAt} = getSpeed(scheduler.estimates, worker);
 	const isSuspect = isSlow || suspectedAt !== undefined;
-	const ratio = isNearData(task, worker) ? judgeRun(scheduler, task, {now, isDone: true, isSlow: isSuspect}) : undefined;
+	const judgement = isNearData(task, worker) ? judgeRun(scheduler, task, {now, isDone: true, isSlow: isSuspect}) : undefined;
 	recordRunTime(context, task, {...options, isSlow: isSuspect});
-	if (ratio !== undefined) {
-		recordJudgements(context, worker, [{task, ratio}]);
+	if (judgement !== undefined) {
+		recordJudgements(context, worker, [{task, ...judgement}]);
 	}
 }
