Hand what was learned to the next owner, and publish the error of estimates

Cause: after a takeover the owner started from the callers' estimates. Few samples outweighed by the assumed bias gave 1,055 ms for tasks of 800 ms after a takeover; the bias is now shrunk by its own uncertainty. Gauges for the error of estimates and slow workers.

--- a/packages/core/src/jobs/estimates/predict-step.ts
+++ b/packages/core/src/jobs/estimates/predict-step.ts
@@ -4,8 +4,11 @@
 import {type Sketch} from './estimates.js';
 import {nameSketches} from './name-sketches.js';
 
-/** Weight of an assumption beside learned samples, as a number of samples. */
-const assumptionWeight = 4;
+/** Weight of an assumed variance beside learned samples, as a number of samples. */
+const assumptionWeight = 2;
+
+/** Assumed standard deviation, between queues, of the bias that all estimates of a queue share, in log space. */
+const assumedBiasSpread = 0.5;
 
 /** Assumed standard deviation of the errors of callers' estimates, in log space; about 1 in 20 is off by more than a factor of 2.5. */
 const assumedErrorSpread = 0.5;
@@ -74,10 +77,10 @@
 /** Expected error of the caller's estimate: that of the queue, and that of the steps of the same job, which share most of it. */
 function combineError({errors, differences, jobErrors}: {errors: Sketch | undefined; differences: Sketch | undefined; jobErrors: readonly number[]}): Evidence {
 	const count = errors?.values.length ?? 0;
-	const ofQueue: Evidence = {
-		mean: (errors?.median ?? 0) * count / (count + assumptionWeight),
-		variance: mixVariance(errors, assumedErrorSpread),
-	};
+	const variance = mixVariance(errors, assumedErrorSpread);
+	// The median of few scattered errors is shrunk towards no bias.
+	const reliability = count === 0 ? 0 : (assumedBiasSpread ** 2) / ((assumedBiasSpread ** 2) + (variance / count));
+	const ofQueue: Evidence = {mean: (errors?.median ?? 0) * reliability, variance};
 	if (jobErrors.length === 0) {
 		return ofQueue;
 	}
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -123,3 +123,6 @@
 
 /** Time for which the ids of ended jobs are kept; longer than any read of the store takes. */
 export const endedRetentionMs = 60_000;
+
+/** Shortest time between two writes of what was learned; a new owner that lacks the last seconds learns them anew. */
+export const estimatesIntervalMs = 5000;
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -3,6 +3,7 @@
 	initialOrderWindow, leaseSlackMs, longestTaskLeaseMs, taskLeaseMs, slowestClockRate,
 } from './constants.js';
 import {createEstimates} from '../estimates/create-estimates.js';
+import {restoreSummary} from '../estimates/restore-summary.js';
 import {createWorker} from './create-worker.js';
 import {type LeaseHolder, type Scheduler} from './scheduler.js';
 
@@ -16,6 +17,8 @@
 	leaseMs?: number;
 	/** Longest lease that a worker accepts. */
 	longestLeaseMs?: number;
+	/** What the former owner has learned, as stored. */
+	estimates?: string | undefined;
 	/** Longest time that a worker may take to stop a task. */
 	stopMs?: number;
 	/** How long before its due time an occurrence may start. */
@@ -72,6 +75,7 @@
 		dirtyWaves: new Set(),
 		estimates: createEstimates(),
 	};
+	restoreSummary(scheduler.estimates, options.estimates, now);
 	for (const holder of holders) {
 		const worker = createWorker({...holder, now});
 		worker.recordedAsHolder = true;
--- a/packages/core/src/jobs/state/effect.ts
+++ b/packages/core/src/jobs/state/effect.ts
@@ -6,6 +6,7 @@
 	| {readonly type: 'progress'; readonly job: string; readonly progress: Progress}
 	| {readonly type: 'end'; readonly job: string; readonly end: EndedJob}
 	| {readonly type: 'holders'; readonly holders: readonly LeaseHolder[]}
+	| {readonly type: 'estimates'; readonly summary: string}
 	| {readonly type: 'wave'; readonly wave: number; readonly done: readonly string[]};
 
 /** Counts of a queue that are published for callers. */
--- a/packages/core/src/jobs/state/write-progress.ts
+++ b/packages/core/src/jobs/state/write-progress.ts
@@ -1,6 +1,7 @@
 import {findAcknowledgeableEnd} from '../runs/find-acknowledgeable-end.js';
 import {listStoredCrashes} from '../crashes/list-stored-crashes.js';
-import {commitIntervalMs} from './constants.js';
+import {encodeSummary} from '../estimates/encode-summary.js';
+import {commitIntervalMs, estimatesIntervalMs} from './constants.js';
 import {type StoreWrite} from './effect.js';
 import {type Progress} from './job-schema.js';
 import {type ReducerContext} from './reducer-context.js';
@@ -44,6 +45,12 @@
 		writes.push({type: 'holders', holders: holders.map(({id, address, instance}) => ({id, address, instance}))});
 	}
 
+	if (scheduler.estimates.isDirty && now >= scheduler.estimates.summaryDueAt) {
+		scheduler.estimates.isDirty = false;
+		scheduler.estimates.summaryDueAt = now + estimatesIntervalMs;
+		writes.push({type: 'estimates', summary: encodeSummary(scheduler.estimates)});
+	}
+
 	scheduler.commitNumber++;
 	scheduler.commit = {
 		number: scheduler.commitNumber, jobs, acknowledgements, holders: holders.map(worker => ({worker, address: worker.address})), waves,
--- a/packages/daemon/src/jobs/fleet-process.ts
+++ b/packages/daemon/src/jobs/fleet-process.ts
@@ -43,6 +43,9 @@
 				configurationAgeSeconds: {help: 'Time since the configuration was known to be current', read: () => this.#operatorCache.ageMs / millisecondsPerSecond},
 				ownsSchedule: {help: '1 while the process owns the schedule', read: () => Number(this.ownsSchedule)},
 				scheduledJobs: {help: 'Jobs that have not ended, at the owner', read: () => this.#schedulerRunner?.counts.jobs ?? 0},
+				estimateErrorRatio: {help: 'Typical factor, minus 1, by which estimated run times of steps differ from measured ones, at the owner', read: () => this.#schedulerRunner?.counts.estimateError ?? 0},
+				callerEstimateErrorRatio: {help: 'The same for the estimates that callers sent', read: () => this.#schedulerRunner?.counts.callerEstimateError ?? 0},
+				slowWorkers: {help: 'Instances that the owner holds back because their workers are much slower than their peers', read: () => this.#schedulerRunner?.counts.slowWorkers ?? 0},
 				scheduledWorkers: {help: 'Workers known to the owner', read: () => this.#schedulerRunner?.counts.workers ?? 0},
 			},
 		});
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -28,6 +28,9 @@
 /** Holders: workers that may run tasks started by this or an earlier owner. A new owner reads the list at its takeover. */
 export const holdersKey = `${root}holders`;
 
+/** Summary of what the owner has learned of run times and of the speeds of instances; read at a takeover, and ignored if it can't be read. */
+export const estimatesKey = `${root}estimates`;
+
 /** Compare-and-swap guard of commits: every commit replaces this key, so an older commit that the store executes late fails its condition. */
 export const commitGuardKey = `${root}journal`;
 
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -9,7 +9,7 @@
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
 import {
-	holdersKey, commitGuardKey, jobParts, ownerKey, summaryKey, wavesPrefix,
+	holdersKey, commitGuardKey, estimatesKey, jobParts, ownerKey, summaryKey, wavesPrefix,
 } from './keys.js';
 import {type OwnershipGrant} from './owner-election.js';
 import {type PayloadCache} from './payload-cache.js';
@@ -207,6 +207,7 @@
 		...jobParts.map(part => ({type: 'delete' as const, key: createJobKey(job, part)})),
 	],
 	wave: ({wave, done}) => [{type: 'put', key: `${wavesPrefix}${wave}`, value: JSON.stringify(done)}],
+	estimates: ({summary}) => [{type: 'put', key: estimatesKey, value: summary}],
 	holders: ({holders}) => [{type: 'put', key: holdersKey, value: JSON.stringify(holders)}],
 };
 
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -14,7 +14,7 @@
 import {decodeUnfinishedJobs} from './decode-unfinished-jobs.js';
 import {followPrefix} from './follow-prefix.js';
 import {
-	holdersKey, jobChangesPrefix, jobsPrefix, progressPrefix, wavesPrefix,
+	estimatesKey, holdersKey, jobChangesPrefix, jobsPrefix, progressPrefix, wavesPrefix,
 } from './keys.js';
 import {type OperatorStateCache} from './operator-state-cache.js';
 import {type OwnershipGrant, type OwnerElection} from './owner-election.js';
@@ -79,7 +79,7 @@
 			return;
 		}
 
-		const scheduler = this.#createScheduler(configuration, stored.holders);
+		const scheduler = this.#createScheduler(configuration, stored);
 		const pass = {scheduler, ...this.#readClocks(), effects: []};
 		for (const {job, progress, cancelled} of stored.jobs) {
 			addJob(pass, job, {progress, cancelled, recovered: true});
@@ -118,8 +118,15 @@
 	}
 
 	/** Sizes for the metrics. */
-	get counts(): {readonly jobs: number; readonly workers: number} {
-		return {jobs: this.#scheduler?.jobs.size ?? 0, workers: this.#scheduler?.workers.size ?? 0};
+	get counts() {
+		const estimates = this.#scheduler?.estimates;
+		return {
+			jobs: this.#scheduler?.jobs.size ?? 0,
+			workers: this.#scheduler?.workers.size ?? 0,
+			estimateError: Math.expm1(estimates?.errors.median ?? 0),
+			callerEstimateError: Math.expm1(estimates?.callerErrors.median ?? 0),
+			slowWorkers: [...(estimates?.speeds.values() ?? [])].filter(({isSlow}) => isSlow).length,
+		};
 	}
 
 	/** Handles an event and performs the resulting effects. */
@@ -184,13 +191,14 @@
 		}
 	}
 
-	#createScheduler(configuration: Configuration, holders: readonly LeaseHolder[]): Scheduler {
+	#createScheduler(configuration: Configuration, {holders, estimates}: {holders: readonly LeaseHolder[]; estimates: string | undefined}): Scheduler {
 		const {bounds} = this.#options.settings;
 		return createScheduler({
 			term: this.#options.grant.term,
 			now: performance.now(),
 			configuration,
 			holders,
+			estimates,
 			leaseMs: Math.min(taskLeaseMs, bounds.longestLeaseMs * usableLeaseFraction),
 			longestLeaseMs: bounds.longestLeaseMs,
 			stopMs: bounds.stopMs,
@@ -214,6 +222,7 @@
 	/** Reads the schedule from the store. Resolves to undefined when the process stops or gives up the ownership. */
 	async #load() {
 		const {platform} = this.#options;
+		const loadingEstimates = this.#loadEstimates();
 		const [jobs, progress, holders, maintained, statuses] = await Promise.all([jobsPrefix, progressPrefix, holdersKey, wavesPrefix, platform.operatorFormat.waveStatusPrefix].map(async prefix => this.#loadPart(prefix)));
 		if (jobs === undefined || progress === undefined || holders === undefined || maintained === undefined || statuses === undefined) {
 			return undefined;
@@ -223,12 +232,19 @@
 		return {
 			jobs: decodeUnfinishedJobs([...jobs.entries, ...progress.entries]),
 			revision: jobs.revision,
+			estimates: await loadingEstimates,
 			holders: parseHolders(holders.entries.find(({key}) => key === holdersKey)?.value),
 			maintainedInstances: parseMaintainedInstances(maintained.entries),
 			completedWaves: new Set(completed),
 		};
 	}
 
+	/** Reads what the former owner has learned, once: a takeover does not depend on it. */
+	async #loadEstimates(): Promise<string | undefined> {
+		const listing = await this.#options.platform.store.list(estimatesKey);
+		return listing.ok ? listing.value.entries.find(({key}) => key === estimatesKey)?.value : undefined;
+	}
+
 	async #loadPart(prefix: string): Promise<Listing | undefined> {
 		const {platform, logger, election} = this.#options;
 		const startedAt = performance.now();
--- a/packages/testing/src/jobs/stored-schedule.ts
+++ b/packages/testing/src/jobs/stored-schedule.ts
@@ -10,11 +10,16 @@
 	readonly jobs = new Map<string, StoredJob>();
 	readonly doneInstances = new Map<number, readonly string[]>();
 	holders: readonly LeaseHolder[] = [];
+	/** Summary of what the owner has learned. */
+	estimates: string | undefined;
 
 	readonly #handlers: {[Type in StoreWrite['type']]: (write: Extract<StoreWrite, {type: Type}>) => void} = {
 		holders: ({holders}) => {
 			this.holders = holders;
 		},
+		estimates: ({summary}) => {
+			this.estimates = summary;
+		},
 		wave: ({wave, done}) => {
 			this.doneInstances.set(wave, done);
 		},
