--- a/packages/core/src/jobs/estimates/compute-interval.ts
+++ b/packages/core/src/jobs/estimates/compute-interval.ts
@@ -1,5 +1,5 @@
 /** Shortest interval in which progress is measured; reports show whole percents. */
-const minimumIntervalMs = 250;
+export const minimumIntervalMs = 250;
 
 /** Fraction of the expected run time in which progress is measured; a run that is 8 times slower shows 5 % instead of 40 %. */
 const intervalFraction = 0.4;
--- a/packages/core/src/jobs/estimates/estimate-duration.ts
+++ b/packages/core/src/jobs/estimates/estimate-duration.ts
@@ -2,9 +2,12 @@
 import {combineEvidence} from './combine-evidence.js';
 import {getStepRunTimes} from './get-step-run-times.js';
 import {measureStep} from './measure-step.js';
-import {nameSketches} from './name-sketches.js';
+import {type SketchNames} from './name-sketches.js';
 import {predictStep} from './predict-step.js';
 
+/** Assumed variance of the error of a caller's estimate, in log space, while nothing was learned of the queue. */
+const callerVariance = 0.25;
+
 /**
  * Estimates how long a task of a step runs. Every decision that depends on run times uses this estimate, not the one that
  * the caller sent with the job. Where nothing was learned, it is the caller's. It is cached until something that it
@@ -29,7 +32,7 @@
 		return runTimes.estimate.value;
 	}
 
-	const stamp = computeStamp(scheduler, job, step);
+	const stamp = computeStamp(scheduler, runTimes.names);
 	if (runTimes.estimate?.stamp === stamp) {
 		runTimes.estimate.checkedAtVersion = version;
 		return runTimes.estimate.value;
@@ -44,13 +47,8 @@
 	return value;
 }
 
-/** Assumed variance of the error of a caller's estimate, in log space, while nothing was learned of the queue. */
-const callerVariance = 0.25;
-
 /** Changes with each sketch that the estimate depends on. */
-function computeStamp({estimates}: Scheduler, job: ActiveJob, step: number): number {
-	const {image, position, errors, differences} = nameSketches(job.definition, step);
-	const {sketches} = estimates;
+function computeStamp({estimates: {sketches}}: Scheduler, {image, position, errors, differences}: SketchNames): number {
 	const ofImage = image === undefined ? 0 : sketches.get(image)?.version ?? 0;
 	return ofImage + (sketches.get(position)?.version ?? 0) + (sketches.get(errors)?.version ?? 0) + (sketches.get(differences)?.version ?? 0);
 }
--- a/packages/core/src/jobs/estimates/estimates.ts
+++ b/packages/core/src/jobs/estimates/estimates.ts
@@ -1,4 +1,5 @@
 import {type Task} from '../state/scheduler.js';
+import {type SketchNames} from './name-sketches.js';
 
 /** Samples of a quantity in log space: the latest ones, with their median and a robust standard deviation. */
 export type Sketch = {
@@ -56,6 +57,7 @@
 
 /** Run times of the tasks of a step, in log space. */
 export type StepRunTimes = {
+	readonly names: SketchNames;
 	readonly ended: Array<{readonly worker: string; readonly value: number}>;
 	/** Projected run times of running tasks, by their progress. */
 	readonly projected: Map<Task, number>;
--- a/packages/core/src/jobs/estimates/get-step-run-times.ts
+++ b/packages/core/src/jobs/estimates/get-step-run-times.ts
@@ -1,5 +1,6 @@
 import {type ActiveJob} from '../state/scheduler.js';
 import {type StepRunTimes} from './estimates.js';
+import {nameSketches} from './name-sketches.js';
 
 /**
  * Gets the run times of the tasks of a step, over all occurrences of its job.
@@ -10,14 +11,14 @@
  * @example
  * getStepRunTimes(job, 0).ended.length;
  */
-export function getStepRunTimes({runTimes}: ActiveJob, step: number): StepRunTimes {
+export function getStepRunTimes({definition, runTimes}: ActiveJob, step: number): StepRunTimes {
 	const known = runTimes[step];
 	if (known !== undefined) {
 		return known;
 	}
 
 	const created: StepRunTimes = {
-		ended: [], projected: new Map(), error: undefined, isLearned: false, estimate: undefined,
+		names: nameSketches(definition, step), ended: [], projected: new Map(), error: undefined, isLearned: false, estimate: undefined,
 	};
 	runTimes[step] = created;
 	return created;
--- a/packages/core/src/jobs/estimates/judge-run.ts
+++ b/packages/core/src/jobs/estimates/judge-run.ts
@@ -1,5 +1,5 @@
 import {type Scheduler, type Task} from '../state/scheduler.js';
-import {computeInterval} from './compute-interval.js';
+import {computeInterval, minimumIntervalMs} from './compute-interval.js';
 import {findPeerRunTime} from './find-peer-run-time.js';
 import {getStepRunTimes} from './get-step-run-times.js';
 
@@ -22,7 +22,7 @@
 export function judgeRun(scheduler: Scheduler, task: Task, options: {now: number; isDone: boolean; isSlow: boolean}): {readonly ratio: number; readonly drift: number | undefined} | undefined {
 	const {now, isDone, isSlow} = options;
 	const {measurement, state} = task;
-	if (measurement === undefined || state !== 'running' || (!isDone && task.percent >= 100)) {
+	if (measurement === undefined || state !== 'running' || (!isDone && (task.percent >= 100 || now - measurement.anchorAt < minimumIntervalMs))) {
 		return undefined;
 	}
 
--- a/packages/core/src/jobs/estimates/learn-step.ts
+++ b/packages/core/src/jobs/estimates/learn-step.ts
@@ -3,7 +3,6 @@
 import {computeMedian} from './compute-median.js';
 import {getStepRunTimes} from './get-step-run-times.js';
 import {learnSample} from './learn-sample.js';
-import {nameSketches} from './name-sketches.js';
 import {predictStep} from './predict-step.js';
 
 /** Fraction of the tasks of a step that must have ended before it is a sample. The median is then known, and the slowest tasks, which may take several times as long, are not waited for. */
@@ -29,7 +28,7 @@
 
 	runTimes.isLearned = true;
 	const value = computeStepMedian(group, now);
-	const names = nameSketches(job.definition, step);
+	const {names} = runTimes;
 	const predicted = predictStep(scheduler, job, step)?.mean ?? Math.log(Math.max(1, definition.estimatedMs));
 	addSample(estimates.errors, Math.abs(predicted - value));
 	if (definition.estimatedMs > 0) {
--- a/packages/core/src/jobs/estimates/predict-step.ts
+++ b/packages/core/src/jobs/estimates/predict-step.ts
@@ -2,7 +2,7 @@
 import {combineEvidence, type Evidence} from './combine-evidence.js';
 import {computeMedian} from './compute-median.js';
 import {type Sketch} from './estimates.js';
-import {nameSketches} from './name-sketches.js';
+import {getStepRunTimes} from './get-step-run-times.js';
 
 /** Weight of an assumed variance beside learned samples, as a number of samples. */
 const assumptionWeight = 2;
@@ -39,7 +39,7 @@
  */
 export function predictStep({estimates}: Scheduler, job: ActiveJob, step: number): Evidence | undefined {
 	const {sketches} = estimates;
-	const names = nameSketches(job.definition, step);
+	const {names} = getStepRunTimes(job, step);
 	const estimatedMs = job.definition.steps[step]?.estimatedMs ?? 0;
 	const ofImage = names.image === undefined ? undefined : sketches.get(names.image);
 	const runTimes = ofImage !== undefined && ofImage.values.length >= minimumImageSamples ? ofImage : sketches.get(names.position);
