--- a/packages/testing/src/jobs/simulate-rough-estimates.ts
+++ b/packages/testing/src/jobs/simulate-rough-estimates.ts
@@ -74,7 +74,7 @@
 		});
 	}
 
-	fleet.runUntil(70_000);
+	fleet.runUntil(120_000);
 	const onTime = jobs.filter(({job, objectiveMs}) => (fleet.storedJobs.get(job.id)?.end?.endedAtMs ?? Number.POSITIVE_INFINITY) <= job.acceptedAtMs + objectiveMs).length;
 	return {fleet, submitted: jobs.length, onTime};
 }
