--- a/packages/core/src/jobs/runs/assign-task.ts
+++ b/packages/core/src/jobs/runs/assign-task.ts
@@ -25,5 +25,6 @@
 	task.run = run;
 	task.state = state;
 	job.changes++;
+	task.measurement = undefined;
 	task.group.run = Math.max(task.group.run, run);
 }
