Start duplicate runs of stragglers

Cause: allowDuplicates was decoded, and no duplicate run was ever started. Change: a task may have a second run on another worker, as a second Task object that takes the place of the first when that one ends without completing the task. Lookups by task and run go through findRun.

--- /dev/null
+++ b/packages/core/src/jobs/copies/choose-stragglers.ts
@@ -0,0 +1,47 @@
+/** Remaining time of a straggler as a multiple of the time of a fresh run. Run times of the tasks of a step differ by less, so a fresh run ends first. */
+const remainingTimeRatio = 1.5;
+
+/** Time that the order and the report of a duplicate take beyond its run, in milliseconds. */
+const orderingMs = 100;
+
+/** Part of the time of a fresh run for which a run is observed before it is judged; its start-up distorts the speed of a shorter one. */
+const observedPart = 0.5;
+
+/** A run that may get a duplicate, with times in milliseconds. */
+export type Candidate = {
+	readonly id: string;
+	/** Time since its start. */
+	readonly elapsedMs: number;
+	/** Estimated remaining time. */
+	readonly remainingMs: number;
+	/** Estimated time of a fresh run. */
+	readonly freshMs: number;
+	/** Cores that a duplicate would reserve, in thousandths. */
+	readonly cpuMillis: number;
+};
+
+/**
+ * Chooses the runs of a service that get a duplicate: those whose remaining time clearly exceeds that of a fresh run, the
+ * ones that gain most first, as far as the budget for duplicates goes.
+ *
+ * @param candidates - confirmed runs of tasks that may have a duplicate and have none
+ * @param options - cores that duplicates of the service may still reserve, in thousandths
+ * @returns the chosen runs
+ * @example
+ * chooseStragglers([{id: 'a.0.0.0', elapsedMs: 500, remainingMs: 2000, freshMs: 500, cpuMillis: 1500}], {budgetMillis: 8000});
+ */
+export function chooseStragglers<T extends Candidate>(candidates: readonly T[], options: {budgetMillis: number}): T[] {
+	let {budgetMillis} = options;
+	const chosen: T[] = [];
+	const stragglers = candidates
+		.filter(({elapsedMs, remainingMs, freshMs}) => elapsedMs >= freshMs * observedPart && remainingMs > (freshMs * remainingTimeRatio) + orderingMs)
+		.toSorted((left, right) => (right.remainingMs - right.freshMs) - (left.remainingMs - left.freshMs));
+	for (const candidate of stragglers) {
+		if (candidate.cpuMillis <= budgetMillis) {
+			budgetMillis -= candidate.cpuMillis;
+			chosen.push(candidate);
+		}
+	}
+
+	return chosen;
+}
--- a/packages/core/src/jobs/order/measure-unreconciled-usage.ts
+++ b/packages/core/src/jobs/order/measure-unreconciled-usage.ts
@@ -1,3 +1,4 @@
+import {mayHaveDuplicate} from '../copies/may-have-duplicate.js';
 import {addResources} from '../placement/add-resources.js';
 import {type Resources} from '../state/configuration-schema.js';
 import {isStepReady} from '../state/is-step-ready.js';
@@ -56,7 +57,8 @@
 			}
 
 			for (const {done, definition, tasks} of step.groups) {
-				const count = done ? 0 : tasks.filter(({state}) => state === 'unassigned').length;
+				const duplicates = mayHaveDuplicate({definition}) ? tasks.filter(({duplicate}) => duplicate === undefined).length : 0;
+				const count = done ? 0 : duplicates + tasks.filter(({state}) => state === 'unassigned').length;
 				unassigned = addResources(unassigned, getReservedResources(definition), count);
 			}
 		}
--- a/packages/core/src/jobs/placement/place-group.ts
+++ b/packages/core/src/jobs/placement/place-group.ts
@@ -1,4 +1,5 @@
 import {assignTask} from '../runs/assign-task.js';
+import {chooseRunNumber} from '../runs/choose-run-number.js';
 import {isWithinLimit} from '../order/is-within-limit.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
@@ -7,9 +8,6 @@
 import {chooseWorkers} from './choose-workers.js';
 import {addResources} from './add-resources.js';
 
-/** Size of the range of run numbers of each owner. The range starts at (term - 1) * 1000 + 1, so that run numbers exceed those of earlier owners, whose runs need not be known. */
-const runsPerTerm = 1000;
-
 /**
  * Places all tasks of a group on workers with free capacity and starts them.
  *
@@ -34,7 +32,7 @@
 		return false;
 	}
 
-	const run = Math.max(group.run, (scheduler.term - 1) * runsPerTerm) + 1;
+	const run = chooseRunNumber(scheduler, group);
 	for (const [position, task] of group.tasks.entries()) {
 		const worker = chosen[position];
 		if (worker === undefined) {
--- a/packages/core/src/jobs/runs/handle-report.ts
+++ b/packages/core/src/jobs/runs/handle-report.ts
@@ -1,3 +1,5 @@
+import {adoptDuplicate} from '../copies/adopt-duplicate.js';
+import {findRun} from '../copies/find-run.js';
 import {type RunningTask, type WorkerReport} from '../state/event.js';
 import {dismissLoss} from '../crashes/dismiss-loss.js';
 import {throttleBestEffortTasks} from '../placement/throttle-best-effort-tasks.js';
@@ -37,9 +39,9 @@
 		recordRunning(context, worker, running);
 	}
 
-	worker.hasStrayRuns = report.running.some(({task: id, run}) => {
-		const task = context.scheduler.tasks.get(id);
-		return task?.worker !== worker || task.run !== run;
+	worker.hasStrayRuns = report.running.some(running => {
+		const task = findRun(context.scheduler, running);
+		return task?.worker !== worker || task.run !== running.run;
 	});
 
 	// A task that is missing from a report with the most ends possible may have ended as well.
@@ -94,7 +96,7 @@
 }
 
 function recordRunning(context: ReducerContext, worker: Worker, running: RunningTask): void {
-	const task = context.scheduler.tasks.get(running.task);
+	let task = findRun(context.scheduler, running);
 	if (task === undefined || mustNotRun(task)) {
 		if (task?.worker !== worker || task.state !== 'stopping') {
 			stopRun(context, worker, running);
@@ -110,6 +112,10 @@
 	}
 
 	if (task.worker !== worker || task.run !== running.run) {
+		task = adoptDuplicate(context, task, {worker, run: running.run});
+	}
+
+	if (task === undefined) {
 		stopRun(context, worker, running);
 		return;
 	}
@@ -122,8 +128,9 @@
 	return group.done || group.job.cancelled || group.job.end !== undefined;
 }
 
-function stopRun(context: ReducerContext, worker: Worker, {task: id, run}: RunningTask): void {
-	const task = context.scheduler.tasks.get(id);
+function stopRun(context: ReducerContext, worker: Worker, running: RunningTask): void {
+	const {task: id, run} = running;
+	const task = findRun(context.scheduler, running);
 	if (task?.worker === worker && task.run === run) {
 		stopTask(context, task);
 		return;
--- a/packages/core/src/jobs/runs/handle-start-answer.ts
+++ b/packages/core/src/jobs/runs/handle-start-answer.ts
@@ -1,6 +1,7 @@
 import {
 	initialBackoffMs, failureThreshold, maximumStartOrders, orderRetryMs,
 } from '../state/constants.js';
+import {findRun} from '../copies/find-run.js';
 import {type OrderAnswer, type OrderOutcome} from '../state/event.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Task, type Worker} from '../state/scheduler.js';
@@ -103,7 +104,7 @@
 export function handleStartAnswer(context: ReducerContext, worker: Worker, order: {task: string; run: number; answer: OrderAnswer}): void {
 	const {task: id, run, answer} = order;
 	const {outcome} = answer;
-	const task = context.scheduler.tasks.get(id);
+	const task = findRun(context.scheduler, order);
 	recordClock(context, worker, order);
 	adjustOrderWindow(context.scheduler.orderWindow, {outcome, latencyMs: context.now - (task?.lastOrderAt ?? context.now)}, context.now);
 	if (outcome === 'unanswered' || outcome === 'unreachable') {
@@ -148,7 +149,7 @@
 		return;
 	}
 
-	const task = context.scheduler.tasks.get(order.task);
+	const task = findRun(context.scheduler, order);
 	const isLastOrder = task?.worker === worker && task.run === order.run && task.state === 'starting';
 	recordWorkerClock(context, worker, {clockMs, sentAt: isLastOrder ? task.lastOrderAt : undefined});
 }
--- a/packages/core/src/jobs/runs/handle-stop-answer.ts
+++ b/packages/core/src/jobs/runs/handle-stop-answer.ts
@@ -1,3 +1,4 @@
+import {findRun} from '../copies/find-run.js';
 import {type OrderAnswer} from '../state/event.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Worker} from '../state/scheduler.js';
@@ -14,13 +15,13 @@
  * handleStopAnswer(context, worker, {task, run: 1, answer: {outcome: 'accepted'}});
  */
 export function handleStopAnswer(context: ReducerContext, worker: Worker, order: {task: string; run: number; answer: OrderAnswer}): void {
-	const {task: id, run, answer} = order;
+	const {run, answer} = order;
 	if (answer.outcome === 'fenced') {
 		context.effects.push({type: 'step-down', reason: 'A worker has seen a later owner'});
 		return;
 	}
 
-	const task = context.scheduler.tasks.get(id);
+	const task = findRun(context.scheduler, order);
 	if (task?.worker !== worker || task.run !== run || task.state !== 'stopping') {
 		return;
 	}
--- a/packages/core/src/jobs/runs/handle-task-end.ts
+++ b/packages/core/src/jobs/runs/handle-task-end.ts
@@ -1,6 +1,10 @@
 import {
 	initialBackoffMs, maximumBackoffMs, failureThreshold, restartDelayMs,
 } from '../state/constants.js';
+import {findRun} from '../copies/find-run.js';
+import {hasAttemptForDuplicate} from '../copies/has-attempt-for-duplicate.js';
+import {listRuns} from '../copies/list-runs.js';
+import {mayHaveDuplicate} from '../copies/may-have-duplicate.js';
 import {clearSuspicion} from '../crashes/clear-suspicion.js';
 import {completeTaskGroup} from '../state/complete-task-group.js';
 import {type EndedTask, type TaskOutcome} from '../state/event.js';
@@ -11,25 +15,36 @@
 import {releaseTask} from './release-task.js';
 import {stopTask} from './stop-task.js';
 
-type TaskEndContext = {readonly task: Task; readonly worker: Worker; readonly ended: EndedTask};
+type TaskEndContext = {
+	readonly task: Task;
+	readonly worker: Worker;
+	readonly ended: EndedTask;
+	/** The run that ended was one of a task and its duplicate. */
+	readonly wasDuplicated: boolean;
+};
 
 const handlers: Record<TaskOutcome, (context: ReducerContext, end: TaskEndContext) => void> = {
-	done(context, {task, worker, ended}) {
+	done(context, {task, worker, ended, wasDuplicated}) {
 		worker.consecutiveFailures = 0;
 		completeTaskGroup(context, task.group);
 		clearSuspicion(context, task.group, ended.run);
-		const otherRuns = task.group.tasks.filter(member => member.worker !== undefined && member.run !== ended.run);
+		const otherRuns = listRuns(task.group).filter(member => member.worker !== undefined && member.run !== ended.run);
 		for (const member of otherRuns) {
-			context.effects.push({
-				type: 'log', level: 'warn', event: 'other-run-stopped', fields: {
-					task: member.id, run: member.run, worker: member.worker?.id, state: member.state, doneRun: ended.run, doneWorker: worker.id,
-				},
-			});
+			if (!wasDuplicated) {
+				context.effects.push({
+					type: 'log', level: 'warn', event: 'other-run-stopped', fields: {
+						task: member.id, run: member.run, worker: member.worker?.id, state: member.state, doneRun: ended.run, doneWorker: worker.id,
+					},
+				});
+			}
+
 			stopOtherRun(context, member);
 		}
 
-		if (otherRuns.length > 0 && !task.group.definition.allowDuplicates) {
-			worker.contestedEnds.set(ended.number, otherRuns.map(member => ({task: member, run: member.run})));
+		// A duplicate that has started cannot start again, so that it does not delay the acknowledgement.
+		const contestingRuns = otherRuns.filter(member => !mayHaveDuplicate(task.group) || member.openStartOrders > 0);
+		if (contestingRuns.length > 0) {
+			worker.contestedEnds.set(ended.number, contestingRuns.map(member => ({task: member, run: member.run})));
 		}
 	},
 	failed(context, {task, worker, ended}) {
@@ -63,7 +78,7 @@
  * handleTaskEnd(context, worker, {number: 1, task, run: 1, end: 'done', checkpoint: ''});
  */
 export function handleTaskEnd(context: ReducerContext, worker: Worker, ended: EndedTask): void {
-	const task = context.scheduler.tasks.get(ended.task);
+	const task = findRun(context.scheduler, ended);
 	if (task === undefined) {
 		return;
 	}
@@ -75,11 +90,16 @@
 		group.checkpoint = ended.checkpoint;
 	}
 
+	let wasDuplicated = false;
 	if (task.worker === worker && task.run === ended.run) {
-		releaseTask(context, task);
+		wasDuplicated = listRuns(group).length > group.tasks.length;
+		recordDuration(context, task, ended);
+		releaseTask(context, task, ended.end);
 	}
 
-	handlers[ended.end](context, {task, worker, ended});
+	handlers[ended.end](context, {
+		task, worker, ended, wasDuplicated,
+	});
 	if (ended.end !== 'done') {
 		context.effects.push({
 			type: 'log', level: 'info', event: 'task-ended', fields: {
@@ -89,6 +109,12 @@
 	}
 }
 
+function recordDuration({now}: ReducerContext, {group, lastOrderAt, startOrders}: Task, {end}: EndedTask): void {
+	if (end === 'done' && startOrders > 0) {
+		group.durationMs ??= now - lastOrderAt;
+	}
+}
+
 /** Stops another run of a task that is done: one that replaced a run given up too early, or a duplicate. */
 function stopOtherRun(context: ReducerContext, task: Task): void {
 	if (task.state !== 'stopping') {
@@ -119,5 +145,11 @@
 	context.scheduler.dirtyJobs.add(group.job);
 	if (group.failedRuns.size >= findQueuePolicy(context.scheduler, group.job).maximumAttempts) {
 		failJob(context, group.job);
+		return;
+	}
+
+	const duplicate = group.tasks[0]?.duplicate;
+	if (duplicate !== undefined && !hasAttemptForDuplicate(context.scheduler, group)) {
+		stopOtherRun(context, duplicate);
 	}
 }
--- a/packages/core/src/jobs/runs/is-start-pending.ts
+++ b/packages/core/src/jobs/runs/is-start-pending.ts
@@ -1,3 +1,4 @@
+import {findRun} from '../copies/find-run.js';
 import {type Scheduler} from '../state/scheduler.js';
 
 /**
@@ -10,7 +11,7 @@
  * @example
  * isStartPending(scheduler, {worker: 'w1', task: 'a.0.0.0', run: 1});
  */
-export function isStartPending({tasks}: Scheduler, order: {readonly worker: string; readonly task: string; readonly run: number}): boolean {
-	const task = tasks.get(order.task);
+export function isStartPending(scheduler: Scheduler, order: {readonly worker: string; readonly task: string; readonly run: number}): boolean {
+	const task = findRun(scheduler, order);
 	return task?.state === 'starting' && task.worker?.id === order.worker && task.run === order.run;
 }
--- a/packages/core/src/jobs/runs/release-task.ts
+++ b/packages/core/src/jobs/runs/release-task.ts
@@ -1,3 +1,4 @@
+import {separateRun} from '../copies/separate-run.js';
 import {addResources} from '../placement/add-resources.js';
 import {getReservedResources} from '../placement/get-reserved-resources.js';
 import {type ReducerContext} from '../state/reducer-context.js';
@@ -7,11 +8,12 @@
  * Unassigns a task from its worker, and subtracts its resources from the usage.
  *
  * @param context - the reducer context; its state is changed
- * @param task - the task
+ * @param task - the task, or the duplicate run of one
+ * @param outcome - how the run ended; `lost` without a report of its end
  * @example
  * releaseTask(context, task);
  */
-export function releaseTask(context: ReducerContext, task: Task): void {
+export function releaseTask(context: ReducerContext, task: Task, outcome = 'lost'): void {
 	const {scheduler} = context;
 	const {worker, group} = task;
 	if (worker === undefined) {
@@ -26,7 +28,10 @@
 		worker.idleSince = context.now;
 	}
 
-	group.unassignedSince = context.now;
+	if (!separateRun(context, task, outcome)) {
+		group.unassignedSince = context.now;
+	}
+
 	const used = scheduler.usedByOrganisation.get(organisation);
 	if (used !== undefined) {
 		scheduler.usedByOrganisation.set(organisation, addResources(used, need, -1));
--- a/packages/core/src/jobs/state/open-occurrences.ts
+++ b/packages/core/src/jobs/state/open-occurrences.ts
@@ -1,7 +1,8 @@
+import {createTask} from './create-task.js';
 import {type Step} from './job-schema.js';
 import {type ReducerContext} from './reducer-context.js';
 import {
-	type ActiveJob, type Task, type StepState, type TaskGroup,
+	type ActiveJob, type StepState, type TaskGroup,
 } from './scheduler.js';
 
 /**
@@ -46,7 +47,7 @@
 			groups.push(group);
 		}
 
-		const task = createTask(group, `${job.definition.id}.${occurrence}.${step}.${index}`, index);
+		const task = createTask(group, {id: `${job.definition.id}.${occurrence}.${step}.${index}`, index});
 		group.tasks.push(task);
 		context.scheduler.tasks.set(task.id, task);
 	}
@@ -69,26 +70,8 @@
 		earliestStartAt: 0,
 		unassignedSince: context.now,
 		failedWorkers: new Set(),
+		duplicatedAt: Number.NEGATIVE_INFINITY,
+		durationMs: undefined,
 		relocatedAt: undefined,
 	};
 }
-
-function createTask(group: TaskGroup, id: string, index: number): Task {
-	return {
-		id,
-		index,
-		group,
-		state: 'unassigned',
-		worker: undefined,
-		run: 0,
-		ticket: '',
-		startOrders: 0,
-		openStartOrders: 0,
-		expectedInReportsFrom: 0,
-		lastOrderAt: 0,
-		percent: 0,
-		progressedAt: 0,
-		speedLimitPercent: 100,
-		speedLimitChangedAt: 0,
-	};
-}
--- a/packages/core/src/jobs/state/reduce-scheduler.ts
+++ b/packages/core/src/jobs/state/reduce-scheduler.ts
@@ -1,3 +1,4 @@
+import {startDuplicates} from '../copies/start-duplicates.js';
 import {advanceWaves} from '../waves/advance-waves.js';
 import {requestReports} from '../runs/request-reports.js';
 import {endCalledIncarnation} from '../runs/end-called-incarnation.js';
@@ -45,12 +46,17 @@
 		}
 
 		scheduler.tickedAt = now;
-		if (now >= scheduler.housekeepingDueAt) {
+		const isHousekeepingDue = now >= scheduler.housekeepingDueAt;
+		if (isHousekeepingDue) {
 			scheduler.housekeepingDueAt = now + housekeepingIntervalMs;
 			runHousekeeping(context);
 		}
 
 		placeReadyTasks(context);
+		if (isHousekeepingDue) {
+			startDuplicates(context);
+		}
+
 		writeProgress(context);
 		requestReports(context);
 	},
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -139,6 +139,8 @@
 	/** Speed limit of a best-effort task, in percent of full speed. */
 	speedLimitPercent: number;
 	speedLimitChangedAt: number;
+	/** Second run of the same task on another worker; it takes the place of the task when this run ends first without completing it. */
+	duplicate: Task | undefined;
 };
 
 /** Tasks that are placed and retried together: a single task, or all tasks of a gang. */
@@ -165,6 +167,10 @@
 	unassignedSince: number;
 	/** Workers on which a run has failed or stalled; others are preferred. */
 	readonly failedWorkers: Set<string>;
+	/** Local time of the last start of a duplicate run; `-Infinity` before the first. */
+	duplicatedAt: number;
+	/** Time in milliseconds from the last start order to the end of the run that is done; undefined if this owner did not order it. */
+	durationMs: number | undefined;
 	/** Local time at which the scheduler stopped the group to relocate it; undefined once it is running again. */
 	relocatedAt: number | undefined;
 };
--- a/packages/core/src/jobs/state/stop-job.ts
+++ b/packages/core/src/jobs/state/stop-job.ts
@@ -1,3 +1,4 @@
+import {listRuns} from '../copies/list-runs.js';
 import {stopTask} from '../runs/stop-task.js';
 import {type ReducerContext} from './reducer-context.js';
 import {type ActiveJob} from './scheduler.js';
@@ -13,7 +14,7 @@
 export function stopJob(context: ReducerContext, job: ActiveJob): void {
 	for (const steps of job.occurrences.values()) {
 		for (const {groups} of steps) {
-			for (const task of groups.flatMap(({tasks}) => tasks)) {
+			for (const task of groups.flatMap(group => listRuns(group))) {
 				if (task.state === 'starting' || task.state === 'running') {
 					stopTask(context, task);
 				}
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -193,6 +193,15 @@
 		number: 640, level: 'warn', text: 'A run of a task has ended as done while a later one was under way, which is stopped; the end is acknowledged once the later one cannot start any more',
 		action: 'Look for event 626 of the first worker: why its tasks were given up.',
 	},
+	'duplicate-started': {
+		number: 660, level: 'info', text: 'A second run of a straggler is started on another worker', action: 'None.',
+	},
+	'duplicate-ended': {
+		number: 661, level: 'info', text: 'One of two runs of a task has ended; the outcome says which one, and whether it completed the task', action: 'None.',
+	},
+	'duplicate-adopted': {
+		number: 662, level: 'info', text: 'Two runs of a task were found after a takeover and both go on', action: 'None.',
+	},
 	'worker-crashed': {
 		number: 637, level: 'warn', text: 'A worker crashed; its runs are listed with the milliseconds since their start orders',
 		action: 'Check the worker and the tasks that were started last.',
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -67,7 +67,7 @@
 			const {task, run, leaseUntilMs} = effect;
 			const job = this.#store.getJob(effect.job);
 			this.#callWorker(effect, owner, model => model.start(this.now, {
-				fence: owner.fence, task, run, leaseUntilMs, behaviour: describeBehaviour(task, job, this.#getBehaviour(task, job)),
+				fence: owner.fence, task, run, leaseUntilMs, behaviour: describeBehaviour(task, job, this.#getBehaviour(task, job, effect)),
 			}));
 		},
 		stop: (effect, owner) => {
--- a/packages/testing/src/jobs/fleet-options.ts
+++ b/packages/testing/src/jobs/fleet-options.ts
@@ -10,6 +10,6 @@
 	configuration: Configuration;
 	workers: readonly ListedWorker[];
 	instances?: readonly ListedInstance[];
-	/** Behaviour of a task; by default it takes as long as estimated, and a long-running one runs until it is stopped. */
-	getBehaviour?: (task: string, job: Job) => Partial<TaskBehaviour>;
+	/** Behaviour of a run of a task; by default it takes as long as estimated, and a long-running one runs until it is stopped. */
+	getBehaviour?: (task: string, job: Job, order: {readonly worker: string; readonly run: number}) => Partial<TaskBehaviour>;
 };
