--- a/packages/testing/src/jobs/simulate-duplicates.ts
+++ b/packages/testing/src/jobs/simulate-duplicates.ts
@@ -44,7 +44,7 @@
 		workers,
 		getBehaviour: (_task, _job, {run}) => ({
 			durationMs: fleet.draw(1, 8) === 1 ? 3000 : fleet.draw(250, 500),
-			fails: fleet.draw(1, 12) === 1,
+			fails: fleet.draw(1, 9) === 1,
 			stalls: run % 2 === 1 && fleet.draw(1, 25) === 1,
 		}),
 	});
@@ -56,7 +56,7 @@
 				queue: `attempts${1 + (count % 4)}`,
 				maximumAttempts: 1 + (count % 4),
 				steps: [{
-					count: 3, cpuMillis: 2000, memoryMb: 100, estimatedMs: 400, allowDuplicates: count % 4 !== 0,
+					count: 3, cpuMillis: 2000, memoryMb: 100, estimatedMs: 400, allowDuplicates: count % 3 !== 0,
 				}, {
 					count: 2, cpuMillis: 2000, memoryMb: 100, estimatedMs: 400, after: [0], allowDuplicates: true,
 				}],
@@ -105,6 +105,10 @@
 			kills++;
 			fleet.at(fleet.now + delayMs, () => {
 				fleet.killOwner();
+				if (fleet.draw(1, 2) === 1) {
+					silenceWorker(fleet);
+				}
+
 				fleet.at(fleet.now + takeoverMs, () => {
 					fleet.takeOver();
 				});
@@ -112,3 +116,12 @@
 		});
 	}
 }
+
+/** Silences the worker of the last duplicate for a time around the takeover, so that the next owner does not know of the run. */
+function silenceWorker(fleet: FleetModel): void {
+	const worker = String(fleet.log.findLast(({event}) => event === 'duplicate-started')?.fields.worker);
+	fleet.silentWorkers.add(worker);
+	fleet.at(fleet.now + fleet.draw(600, 6000), () => {
+		fleet.silentWorkers.delete(worker);
+	});
+}
