Keep duplicates off slow workers, and judge runs by their reports

Progress was set against the last answer of any call, although only reports carry it. Change: a run that a later one overtakes counts as a failure of its worker; workers of stragglers get no duplicates; speeds are measured up to the last report.

--- a/packages/core/src/jobs/copies/choose-stragglers.ts
+++ b/packages/core/src/jobs/copies/choose-stragglers.ts
@@ -10,8 +10,8 @@
 /** A run that may get a duplicate, with times in milliseconds. */
 export type Candidate = {
 	readonly id: string;
-	/** Time since its start. */
-	readonly elapsedMs: number;
+	/** Time from its start to the last report, or to now if its worker is silent. */
+	readonly observedMs: number;
 	/** Estimated remaining time. */
 	readonly remainingMs: number;
 	/** Estimated time of a fresh run. */
@@ -28,13 +28,13 @@
  * @param options - cores that duplicates of the service may still reserve, in thousandths
  * @returns the chosen runs
  * @example
- * chooseStragglers([{id: 'a.0.0.0', elapsedMs: 500, remainingMs: 2000, freshMs: 500, cpuMillis: 1500}], {budgetMillis: 8000});
+ * chooseStragglers([{id: 'a.0.0.0', observedMs: 500, remainingMs: 2000, freshMs: 500, cpuMillis: 1500}], {budgetMillis: 8000});
  */
 export function chooseStragglers<T extends Candidate>(candidates: readonly T[], options: {budgetMillis: number}): T[] {
 	let {budgetMillis} = options;
 	const chosen: T[] = [];
 	const stragglers = candidates
-		.filter(({elapsedMs, remainingMs, freshMs}) => elapsedMs >= freshMs * observedPart && remainingMs > (freshMs * remainingTimeRatio) + orderingMs)
+		.filter(({observedMs, remainingMs, freshMs}) => observedMs >= freshMs * observedPart && remainingMs > (freshMs * remainingTimeRatio) + orderingMs)
 		.toSorted((left, right) => (right.remainingMs - right.freshMs) - (left.remainingMs - left.freshMs));
 	for (const candidate of stragglers) {
 		if (candidate.cpuMillis <= budgetMillis) {
--- a/packages/core/src/jobs/copies/estimate-fresh-run-time.ts
+++ b/packages/core/src/jobs/copies/estimate-fresh-run-time.ts
@@ -30,5 +30,5 @@
 
 /** Projects the whole duration of a run from its progress at the last report. */
 function projectDuration({state, percent, lastOrderAt, worker}: Task): number | undefined {
-	return state === 'running' && percent >= knownSpeedPercent && worker !== undefined && lastOrderAt > 0 ? (worker.lastResponseAt - lastOrderAt) * 100 / percent : undefined;
+	return state === 'running' && percent >= knownSpeedPercent && lastOrderAt > 0 && worker !== undefined && worker.reportAnsweredAt > lastOrderAt ? (worker.reportAnsweredAt - lastOrderAt) * 100 / percent : undefined;
 }
--- a/packages/core/src/jobs/copies/start-duplicates.ts
+++ b/packages/core/src/jobs/copies/start-duplicates.ts
@@ -15,6 +15,7 @@
 import {estimateFreshRunTime} from './estimate-fresh-run-time.js';
 import {estimateRemainingTime} from './estimate-remaining-time.js';
 import {hasAttemptForDuplicate} from './has-attempt-for-duplicate.js';
+import {isSilent} from './is-silent.js';
 import {listWaitingServices} from './list-waiting-services.js';
 import {mayHaveDuplicate} from './may-have-duplicate.js';
 import {measureDuplicateBudget} from './measure-duplicate-budget.js';
@@ -41,6 +42,7 @@
 
 	const waiting = listWaitingServices(scheduler);
 	const schedulable = listSchedulableWorkers(scheduler, now);
+	const slowWorkers = listSlowWorkers(candidates);
 	let orders = scheduler.orderWindow.size - countOpenOrders(scheduler);
 	for (const [service, runs] of candidates) {
 		const budgetMillis = waiting.has(service) ? 0 : measureDuplicateBudget(scheduler, service);
@@ -49,11 +51,23 @@
 				return;
 			}
 
-			orders -= startDuplicate(context, straggler, schedulable.get(service) ?? []) ? 1 : 0;
+			orders -= startDuplicate(context, straggler, (schedulable.get(service) ?? []).filter(worker => !slowWorkers.has(worker))) ? 1 : 0;
 		}
 	}
 }
 
+/** Lists the workers of stragglers, which may be slow themselves. */
+function listSlowWorkers(candidates: ReadonlyMap<string, readonly StragglerCandidate[]>): Set<Worker> {
+	const workers = new Set<Worker>();
+	for (const {task} of chooseStragglers([...candidates.values()].flat(), {budgetMillis: Number.POSITIVE_INFINITY})) {
+		if (task.worker !== undefined) {
+			workers.add(task.worker);
+		}
+	}
+
+	return workers;
+}
+
 /** Lists the runs that may get a duplicate, by service. */
 function listCandidates(scheduler: Scheduler, now: number): Map<string, StragglerCandidate[]> {
 	const candidates = new Map<string, StragglerCandidate[]>();
@@ -91,15 +105,15 @@
 }
 
 function describeCandidate(scheduler: Scheduler, task: Task, now: number): StragglerCandidate | undefined {
-	const {id, group, lastOrderAt} = task;
+	const {id, group, lastOrderAt, worker} = task;
 	const {job, occurrence, step, definition} = group;
 	const groups = job.occurrences.get(occurrence)?.[step]?.groups ?? [];
 	const freshMs = estimateFreshRunTime(group, {groups, estimatedMs: estimateDuration(scheduler, job, step)});
 	const remainingMs = estimateRemainingTime(task, {freshMs, now});
-	return remainingMs === undefined
+	return remainingMs === undefined || worker === undefined
 		? undefined
 		: {
-			task, id, elapsedMs: now - lastOrderAt, remainingMs, freshMs, cpuMillis: getReservedResources(definition).cpuMillis,
+			task, id, observedMs: (isSilent(worker, now) ? now : worker.reportAnsweredAt) - lastOrderAt, remainingMs, freshMs, cpuMillis: getReservedResources(definition).cpuMillis,
 		};
 }
 
@@ -135,5 +149,6 @@
 function isSuitable(worker: Worker, {worker: original, group}: Task): boolean {
 	const {affinity} = group.definition;
 	const isFarther = affinity !== '' && worker.listing?.rack !== affinity && original?.listing?.rack === affinity;
-	return worker !== original && !group.failedWorkers.has(worker.id) && !isFarther;
+	const hasDuplicatedRun = [...worker.tasks].some(({duplicate}) => duplicate !== undefined);
+	return worker !== original && !group.failedWorkers.has(worker.id) && !isFarther && !hasDuplicatedRun;
 }
--- a/packages/core/src/jobs/runs/handle-task-end.ts
+++ b/packages/core/src/jobs/runs/handle-task-end.ts
@@ -38,6 +38,11 @@
 				});
 			}
 
+			// A run that a later one overtakes counts as a failure of its worker. A slow worker would otherwise get the next task as soon as it is rid of this one.
+			if (wasDuplicated && member.run < ended.run && member.worker !== undefined) {
+				countWorkerFailure(context, member.worker);
+			}
+
 			stopOtherRun(context, member);
 		}
 
--- a/packages/testing/src/jobs/simulate-duplicates.ts
+++ b/packages/testing/src/jobs/simulate-duplicates.ts
@@ -26,6 +26,9 @@
 /** Most owners that are killed in one run. */
 const maximumKills = 3;
 
+/** Time after which no owner is killed, in milliseconds; most jobs have ended by then. */
+const lastKillAt = 8000;
+
 /**
  * Simulates a fleet under jobs of which a part allows duplicates, with stragglers, failing runs, lost answers, late
  * orders, crashes, cancellations, and owners that are killed at a moment of a duplicate run.
@@ -92,29 +95,37 @@
 /** Kills the owner a number of times, each time at the given moment after the next event. */
 function killOwnersAt(fleet: FleetModel, moment: Moment): void {
 	const {event, delayMs} = killDelays[moment];
-	let seen = 0;
-	let kills = 0;
-	for (let at = 500; at < 8000; at++) {
-		fleet.at(at, () => {
-			const matching = fleet.log.filter(entry => entry.event === event).length;
-			if (matching <= seen || kills >= maximumKills || !fleet.owner?.isAlive) {
-				return;
-			}
-
-			seen = matching;
-			kills++;
-			fleet.at(fleet.now + delayMs, () => {
-				fleet.killOwner();
-				if (fleet.draw(1, 2) === 1) {
-					silenceWorker(fleet);
-				}
-
-				fleet.at(fleet.now + takeoverMs, () => {
-					fleet.takeOver();
-				});
+	const watch = (seen: number, kills: number): void => {
+		const matching = fleet.log.filter(entry => entry.event === event).length;
+		const isDue = matching > seen && fleet.owner?.isAlive;
+		if (isDue) {
+			killOwner(fleet, delayMs);
+		}
+
+		const killed = isDue ? kills + 1 : kills;
+		if (killed < maximumKills && fleet.now < lastKillAt) {
+			fleet.at(fleet.now + 1, () => {
+				watch(isDue ? matching : seen, killed);
 			});
+		}
+	};
+
+	fleet.at(500, () => {
+		watch(0, 0);
+	});
+}
+
+function killOwner(fleet: FleetModel, delayMs: number): void {
+	fleet.at(fleet.now + delayMs, () => {
+		fleet.killOwner();
+		if (fleet.draw(1, 2) === 1) {
+			silenceWorker(fleet);
+		}
+
+		fleet.at(fleet.now + takeoverMs, () => {
+			fleet.takeOver();
 		});
-	}
+	});
 }
 
 /** Silences the worker of the last duplicate for a time around the takeover, so that the next owner does not know of the run. */
