--- a/packages/core/src/jobs/copies/choose-stragglers.ts
+++ b/packages/core/src/jobs/copies/choose-stragglers.ts
@@ -1,11 +1,4 @@
-/** Remaining time of a straggler as a multiple of the time of a fresh run. Run times of the tasks of a step differ by less, so a fresh run ends first. */
-const remainingTimeRatio = 1.5;
-
-/** Time that the order and the report of a duplicate take beyond its run, in milliseconds. */
-const orderingMs = 100;
-
-/** Part of the time of a fresh run for which a run is observed before it is judged; its start-up distorts the speed of a shorter one. */
-const observedPart = 0.5;
+import {isStraggler} from './is-straggler.js';
 
 /** A run that may get a duplicate, with times in milliseconds. */
 export type Candidate = {
@@ -34,7 +27,7 @@
 	let {budgetMillis} = options;
 	const chosen: T[] = [];
 	const stragglers = candidates
-		.filter(({observedMs, remainingMs, freshMs}) => observedMs >= freshMs * observedPart && remainingMs > (freshMs * remainingTimeRatio) + orderingMs)
+		.filter(candidate => isStraggler(candidate))
 		.toSorted((left, right) => (right.remainingMs - right.freshMs) - (left.remainingMs - left.freshMs));
 	for (const candidate of stragglers) {
 		if (candidate.cpuMillis <= budgetMillis) {
--- a/packages/core/src/jobs/copies/start-duplicates.ts
+++ b/packages/core/src/jobs/copies/start-duplicates.ts
@@ -10,12 +10,16 @@
 import {createTask} from '../state/create-task.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {type Scheduler, type Task, type Worker} from '../state/scheduler.js';
+import {
+	type Scheduler, type Task, type TaskGroup, type Worker,
+} from '../state/scheduler.js';
 import {type Candidate, chooseStragglers} from './choose-stragglers.js';
 import {estimateFreshRunTime} from './estimate-fresh-run-time.js';
 import {estimateRemainingTime} from './estimate-remaining-time.js';
 import {hasAttemptForDuplicate} from './has-attempt-for-duplicate.js';
 import {isSilent} from './is-silent.js';
+import {isStraggler} from './is-straggler.js';
+import {listPeerTimes, type PeerTime} from './list-peer-times.js';
 import {listWaitingServices} from './list-waiting-services.js';
 import {mayHaveDuplicate} from './may-have-duplicate.js';
 import {measureDuplicateBudget} from './measure-duplicate-budget.js';
@@ -71,6 +75,7 @@
 /** Lists the runs that may get a duplicate, by service. */
 function listCandidates(scheduler: Scheduler, now: number): Map<string, StragglerCandidate[]> {
 	const candidates = new Map<string, StragglerCandidate[]>();
+	const peerTimes = new Map<readonly TaskGroup[], PeerTime[]>();
 	const isReconciled = [...scheduler.workers.values()].every(({unreconciledUntil}) => unreconciledUntil <= now);
 	for (const {tasks} of scheduler.workers.values()) {
 		for (const task of tasks) {
@@ -79,10 +84,12 @@
 				continue;
 			}
 
-			const candidate = describeCandidate(scheduler, task, now);
+			const candidate = describeCandidate(scheduler, task, {now, peerTimes});
 			if (candidate !== undefined) {
 				const {service} = findQueuePolicy(scheduler, task.group.job);
-				candidates.set(service, [...candidates.get(service) ?? [], candidate]);
+				const known = candidates.get(service) ?? [];
+				known.push(candidate);
+				candidates.set(service, known);
 			}
 		}
 	}
@@ -104,16 +111,31 @@
 		&& hasAttemptForDuplicate(scheduler, group);
 }
 
-function describeCandidate(scheduler: Scheduler, task: Task, now: number): StragglerCandidate | undefined {
+/** Describes a run that would be a straggler if the estimate of its step were right; `undefined` for others. Each step is measured once. */
+function describeCandidate(scheduler: Scheduler, task: Task, options: {now: number; peerTimes: Map<readonly TaskGroup[], PeerTime[]>}): StragglerCandidate | undefined {
+	const {now, peerTimes} = options;
 	const {id, group, lastOrderAt, worker} = task;
 	const {job, occurrence, step, definition} = group;
+	const estimatedMs = estimateDuration(scheduler, job, step);
+	const shortestMs = estimateRemainingTime(task, {freshMs: estimatedMs, now});
+	if (shortestMs === undefined || worker === undefined) {
+		return undefined;
+	}
+
+	const observedMs = (isSilent(worker, now) ? now : worker.reportAnsweredAt) - lastOrderAt;
+	if (!isStraggler({observedMs, remainingMs: shortestMs, freshMs: estimatedMs})) {
+		return undefined;
+	}
+
 	const groups = job.occurrences.get(occurrence)?.[step]?.groups ?? [];
-	const freshMs = estimateFreshRunTime(group, {groups, estimatedMs: estimateDuration(scheduler, job, step)});
+	const times = peerTimes.get(groups) ?? listPeerTimes(groups);
+	peerTimes.set(groups, times);
+	const freshMs = estimateFreshRunTime(group, {peerTimes: times, estimatedMs});
 	const remainingMs = estimateRemainingTime(task, {freshMs, now});
-	return remainingMs === undefined || worker === undefined
+	return remainingMs === undefined
 		? undefined
 		: {
-			task, id, observedMs: (isSilent(worker, now) ? now : worker.reportAnsweredAt) - lastOrderAt, remainingMs, freshMs, cpuMillis: getReservedResources(definition).cpuMillis,
+			task, id, observedMs, remainingMs, freshMs, cpuMillis: getReservedResources(definition).cpuMillis,
 		};
 }
 
