--- a/packages/core/src/jobs/copies/estimate-remaining-time.test.ts
+++ b/packages/core/src/jobs/copies/estimate-remaining-time.test.ts
@@ -7,7 +7,9 @@
 
 /** Creates a run that was ordered at 1000 ms, on a worker that last answered at 2000 ms. */
 function createRun(changes: Partial<Task>, workerChanges: Partial<Worker> = {}): Task {
-	const worker: Worker = {...createWorker({id: 'w1', address: '10.0.0.1:80', now: 0}), lastResponseAt: 2000, reportAnsweredAt: 2000, ...workerChanges};
+	const worker: Worker = {
+		...createWorker({id: 'w1', address: '10.0.0.1:80', now: 0}), lastResponseAt: 2000, reportAnsweredAt: 2000, ...workerChanges,
+	};
 	return {
 		...createTask({} as unknown as TaskGroup, {id: 'a.0.0.0', index: 0}), state: 'running', worker, lastOrderAt: 1000, percent: 25, ...changes,
 	};
@@ -25,7 +27,9 @@
 	});
 
 	it('guards against trusting the progress of a run whose worker is silent', () => {
-		const worker = {unresponsive: true, clockMs: 0, clockReadAt: 2000, leaseUntilMs: 2940};
+		const worker = {
+			unresponsive: true, clockMs: 0, clockReadAt: 2000, leaseUntilMs: 2940,
+		};
 		assert.equal(estimateRemainingTime(createRun({percent: 99}, worker), {freshMs: 500, now: 3000}), 2600);
 	});
 
