Pools: Return idle instances after a burst, and prepare the next pool once its turn is confirmed

Cause: on the model (4 pools in turn, 82 instances, 34 s) idle instances are 40 % of the instance-seconds outside the spare pool, mostly in the equal minimum size of pools whose burst is just over.

Change: bursts of the pools are detected from their arrivals. Idle instances of a pool whose burst is over return after 400 ms instead of 1 s. Once a burst has repeated in the expected order, a pool keeps a tenth of an equal share until it is next, and the next pool is filled up ahead of the predicted start. An unexpected burst discards this.

--- a/packages/core/src/jobs/pools/measure-pools.ts
+++ b/packages/core/src/jobs/pools/measure-pools.ts
@@ -7,6 +7,8 @@
 import {estimateDuration} from '../estimates/estimate-duration.js';
 import {type PoolLoad, type StepState, type Worker} from '../state/scheduler.js';
 import {measureArrivingDemand} from './measure-arriving-demand.js';
+import {measureReserves} from './measure-reserves.js';
+import {observeBurst} from './observe-burst.js';
 import {forecastDemand} from './forecast-demand.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
@@ -51,11 +53,17 @@
 
 	const demands: PoolDemands = new Map();
 	addWorkers(context, pools, demands);
+	const longRunning = new Map([...demands].map(([service, {demand}]) => [service, demand]));
 	addBlockedUpkeeps(context, pools);
 	addJobs(context, pools, demands);
 	addUsageByLateJobs(pools);
+	const reserves = measureReserves(scheduler, [...pools.keys()], now);
 	for (const pool of pools.values()) {
 		const {demand = 0, count = 0} = demands.get(pool.name) ?? {};
+		const {threshold = Number.POSITIVE_INFINITY, isExpected = true} = reserves.get(pool.name) ?? {};
+		observeBurst(scheduler.burstPattern, pool.name, {
+			demand: demand - (longRunning.get(pool.name) ?? 0), threshold, isExpected, now,
+		});
 		pool.demand = forecastDemand(scheduler.poolLoads.get(pool.name)?.demand, {currentDemand: demand, arrivals: count, now});
 	}
 
--- /dev/null
+++ b/packages/core/src/jobs/pools/measure-reserves.ts
@@ -0,0 +1,71 @@
+import {type Scheduler} from '../state/scheduler.js';
+import {predictNextStart} from './predict-next-start.js';
+
+/** Time from the request of a move to the first task on the instance: 1.5 s for the move, the rest for its request and its registration. */
+const moveLeadMs = 1900;
+
+/** Repeated bursts that must have followed the order of the pools before a pool keeps fewer instances; a burst on a pool with few instances costs its callers a move. */
+const minimumConfirmations = 1;
+
+/** Time after the predicted start of a burst for which its pool is kept ready; a burst that is later has not followed the pattern. */
+const overdueMs = 1500;
+
+/** Instances of a pool while its demand is low. */
+type Reserve = {
+	/** Number of instances that stay. */
+	kept: number;
+	/** Number of instances to which the pool is filled up ahead of a burst. */
+	prepared: number;
+	/** A burst on the pool would follow the pattern. */
+	isExpected: boolean;
+	/** Demand above which the pool has a burst, in thousandths of a core. */
+	threshold: number;
+};
+
+/**
+ * Determines how many instances each pool keeps while its demand is low, so that they serve the start of its next burst
+ * until moved instances arrive. A pool whose burst is over keeps few of them until it is expected to be next, that is until
+ * all other pools with bursts have had theirs since. If bursts have come at regular intervals, the next pool is prepared for
+ * the height of its last burst shortly before the predicted time.
+ *
+ * @param scheduler - the state
+ * @param pools - names of the pools that are not spare
+ * @param now - local time in milliseconds
+ * @returns the reserve of each pool by its name
+ * @example
+ * measureReserves(scheduler, ['planner'], now).get('planner')?.kept;
+ */
+export function measureReserves(scheduler: Scheduler, pools: readonly string[], now: number): Map<string, Reserve> {
+	const {poolPolicy, burstPattern, instances} = scheduler;
+	const share = instances.size / Math.max(1, pools.length);
+	const full = Math.max(1, Math.round(share * poolPolicy.retainedPoolFraction));
+	const reduced = Math.max(1, Math.round(share * poolPolicy.reducedPoolFraction));
+	const candidates = listNextPools(scheduler, pools);
+	const isConfirmed = burstPattern.streak >= minimumConfirmations;
+	const next = predictNextStart(burstPattern);
+	const isDue = next !== undefined && now > next.at - moveLeadMs - next.errorMs && now < next.at + overdueMs + next.errorMs;
+	const cpuMillis = Math.max(1, instances.values().next().value?.capacity.cpuMillis ?? 1);
+	const reserves = new Map<string, Reserve>();
+	for (const pool of pools) {
+		const burst = burstPattern.pools.get(pool);
+		const isExpected = burst === undefined || burst.isActive || candidates.has(pool);
+		const isReduced = poolPolicy.learnsBursts && isConfirmed && !isExpected;
+		const isRefilled = poolPolicy.learnsBursts && burst?.isActive === false && !isReduced;
+		const isPrepared = isRefilled && isConfirmed && isExpected && isDue;
+		const kept = isReduced ? reduced : full;
+		const peak = isPrepared ? Math.round(burst.peak * poolPolicy.preparedPeakFraction / cpuMillis) : 0;
+		reserves.set(pool, {
+			kept: Math.max(kept, peak), prepared: isRefilled ? Math.max(full, peak) : 0, isExpected, threshold: full * cpuMillis,
+		});
+	}
+
+	return reserves;
+}
+
+/** The pool whose last burst began longest ago, once every pool with demand has had one. */
+function listNextPools({burstPattern}: Scheduler, pools: readonly string[]): Set<string> {
+	const quiet = pools.filter(pool => burstPattern.pools.get(pool)?.isActive === false);
+	const [first] = quiet.toSorted((left, right) => (burstPattern.pools.get(left)?.startedAt ?? 0) - (burstPattern.pools.get(right)?.startedAt ?? 0));
+	const isComplete = pools.every(pool => burstPattern.pools.has(pool));
+	return new Set(isComplete && first !== undefined ? [first] : []);
+}
--- a/packages/core/src/jobs/pools/plan-moves.ts
+++ b/packages/core/src/jobs/pools/plan-moves.ts
@@ -3,24 +3,16 @@
 import {type ListedInstance} from '../state/instance.js';
 import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {type PoolLoad, type Worker} from '../state/scheduler.js';
+import {type PoolLoad, type Scheduler, type Worker} from '../state/scheduler.js';
 import {planDrains} from './plan-drains.js';
 import {measureTimelyNeed} from './measure-timely-need.js';
 import {measurePools} from './measure-pools.js';
+import {measureReserves} from './measure-reserves.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
 /** Interval between two plans; a move takes more than a second. */
 const planIntervalMs = 150;
 
-/** Time after which an idle instance returns to the spare pool unless more work is forecast; within a burst, gaps between jobs last some hundred milliseconds. */
-const idleReturnMs = 1000;
-
-/** Time after which an idle instance may move directly to another pool; shorter than `idleReturnMs`, since one move then replaces two and neither pool waits for the second. */
-const directMoveIdleMs = 500;
-
-/** Minimum size of each pool, as a fraction of an equal share of all instances; the instances kept serve the start of a burst. */
-const retainedPoolFraction = 0.35;
-
 /** Time after which an unanswered request for a move is repeated. */
 const moveRetryMs = 1700;
 
@@ -63,6 +55,7 @@
 		});
 	}
 
+	fillReserves(context, {pools, surplusWorkers, spareInstances});
 	const timelyShortages = new Map([...pools.values()].map(pool => [pool.name, measureTimelyShortage(context, pool)]));
 	for (const drained of planDrains(context, {pools, shortages: timelyShortages, isMovable: worker => isOnMovableInstance(context, worker)})) {
 		const instance = scheduler.instances.get(drained.instance);
@@ -73,7 +66,7 @@
 
 	for (const worker of surplusWorkers) {
 		const instance = scheduler.instances.get(worker.listing?.instance ?? '');
-		if (instance !== undefined && !scheduler.drains.has(instance.id) && now - worker.idleSince > idleReturnMs) {
+		if (instance !== undefined && !scheduler.drains.has(instance.id) && now - worker.idleSince > getIdleReturnTime(scheduler, worker)) {
 			requestMove(context, instance, sparePool);
 		}
 	}
@@ -135,14 +128,19 @@
 	return instance !== undefined && isMovable(context, instance);
 }
 
+/** Time in milliseconds after which an idle instance returns to the spare pool; shorter once the burst of its pool is over, because no gap between two jobs explains it. */
+function getIdleReturnTime({poolPolicy, burstPattern}: Scheduler, {listing}: Worker): number {
+	return burstPattern.pools.get(listing?.service ?? '')?.isActive === false ? poolPolicy.endedIdleReturnMs : poolPolicy.idleReturnMs;
+}
+
 /** Idle workers that their pools can spare, longest idle first. */
 function listSurplusWorkers(context: ReducerContext, pools: ReadonlyMap<string, PoolLoad>): Worker[] {
 	const {scheduler, now} = context;
-	const minimumSize = Math.max(1, Math.round((scheduler.instances.size / Math.max(1, pools.size)) * retainedPoolFraction));
+	const reserves = measureReserves(scheduler, [...pools.keys()], now);
 	const surplusWorkers: Worker[] = [];
 	for (const pool of pools.values()) {
 		const idle = pool.workers
-			.filter(worker => worker.tasks.size === 0 && !worker.cordoned && worker.acknowledgedOwner && now - worker.idleSince > directMoveIdleMs)
+			.filter(worker => worker.tasks.size === 0 && !worker.cordoned && worker.acknowledgedOwner && now - worker.idleSince > Math.min(scheduler.poolPolicy.directMoveIdleMs, getIdleReturnTime(scheduler, worker)))
 			.filter(worker => isOnMovableInstance(context, worker))
 			.toSorted((left, right) => left.idleSince - right.idleSince);
 		let surplus = pool.capacity - measureTarget(pool);
@@ -150,7 +148,7 @@
 			continue;
 		}
 
-		for (const worker of idle.slice(0, Math.max(0, pool.workers.length - minimumSize))) {
+		for (const worker of idle.slice(0, Math.max(0, pool.workers.length - (reserves.get(pool.name)?.kept ?? 1)))) {
 			surplus -= worker.listing?.capacity.cpuMillis ?? 0;
 			if (surplus < 0) {
 				break;
@@ -179,6 +177,21 @@
 	}
 }
 
+/** Requests instances for pools that are expected to have the next burst; pools that lack instances now have got theirs before. */
+function fillReserves(context: ReducerContext, options: {pools: ReadonlyMap<string, PoolLoad>; surplusWorkers: Worker[]; spareInstances: ListedInstance[]}): void {
+	const {scheduler, now} = context;
+	const {pools, surplusWorkers, spareInstances} = options;
+	for (const [name, {prepared}] of measureReserves(scheduler, [...pools.keys()], now)) {
+		const pool = pools.get(name);
+		const missing = prepared - (pool?.workers.length ?? 0) - [...scheduler.moves.values()].filter(move => move.pool === name).length;
+		if (pool !== undefined && missing > 0) {
+			requestInstances(context, {
+				pool, shortage: missing * (pool.workers[0]?.listing?.capacity.cpuMillis ?? 1), surplusWorkers, spareInstances,
+			});
+		}
+	}
+}
+
 function requestMove(context: ReducerContext, instance: ListedInstance, pool: string): void {
 	const {scheduler, now} = context;
 	const worker = findWorkerOfInstance(scheduler, instance.id);
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -1,3 +1,4 @@
+import {defaultPoolPolicy} from '../pools/pool-policy.js';
 import {type Configuration} from './configuration-schema.js';
 import {
 	initialOrderWindow, leaseSlackMs, longestTaskLeaseMs, taskLeaseMs, slowestClockRate,
@@ -64,6 +65,10 @@
 		instanceListPending: false,
 		instanceListRequestedAt: Number.NEGATIVE_INFINITY,
 		poolLoads: new Map(),
+		poolPolicy: defaultPoolPolicy,
+		burstPattern: {
+			pools: new Map(), intervals: [], lastStartedAt: undefined, streak: 0,
+		},
 		moves: new Map(),
 		drains: new Map(),
 		movesDueAt: 0,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -3,6 +3,8 @@
  * in milliseconds, and fields that end in `AtMs` are wall-clock times in milliseconds since 1970. `clockMs` and
  * `leaseUntilMs` are on the worker's own clock.
  */
+import {type BurstPattern} from '../pools/burst-pattern.js';
+import {type PoolPolicy} from '../pools/pool-policy.js';
 import {type OrderWindow} from '../runs/order-window.js';
 import {type Configuration, type Resources} from './configuration-schema.js';
 import {
@@ -290,6 +292,10 @@
 	instanceListRequestedAt: number;
 	/** Load of each pool when moves were last planned. */
 	poolLoads: ReadonlyMap<string, PoolLoad>;
+	/** Rules by which moves are planned. */
+	poolPolicy: PoolPolicy;
+	/** Bursts of the pools so far. */
+	readonly burstPattern: BurstPattern;
 	readonly moves: Map<string, Move>;
 	/** Instances whose workers are drained for another pool, by id. */
 	readonly drains: Map<string, Drain>;
