Pools: Pack long-running tasks, and log the reserves of the pools

Cause: long-running tasks went to the workers with the most free capacity, so they occupied idle instances that could have been returned. A pool without bursts, such as one of long-running tasks, kept the order of the others from being confirmed.

Change: long-running tasks go to the fullest worker, up to mayMiss and one of their step on a rack and on a worker, and are spread beyond that. Only pools with bursts count in the order. pool-load shows the reserves and the predicted next burst with its error.

--- a/packages/core/src/jobs/placement/choose-workers.ts
+++ b/packages/core/src/jobs/placement/choose-workers.ts
@@ -7,7 +7,8 @@
 
 /**
  * Chooses a worker for each task of a group. Prefers the rack that holds the data, or one rack for all tasks, where the
- * step asks for it. Long-running tasks go to the worker with the most free capacity (worst fit), others to the one with the least (best fit).
+ * step asks for it. Tasks go to the worker with the least free capacity (best fit), so that other instances become empty and can move.
+ * Long-running tasks do so only up to `mayMiss` and one of their step on a rack and on a worker; beyond that they are spread.
  *
  * @param group - the task group
  * @param stepState - the step that it belongs to
@@ -64,6 +65,7 @@
 function chooseWorker(group: TaskGroup, stepState: StepState, workers: readonly Worker[], taken: readonly Worker[]): Worker | undefined {
 	const need = getReservedResources(group.definition);
 	const preferredRack = findPreferredRack(group, stepState, taken);
+	const countExcess = group.definition.longRunning ? createExcessCounter(stepState, {taken, limit: group.definition.mayMiss + 1}) : () => 0;
 	let best: {worker: Worker; cost: number} | undefined;
 	for (const worker of workers) {
 		const {listing} = worker;
@@ -78,8 +80,8 @@
 
 		const leftoverFraction = (free.cpuMillis - need.cpuMillis) / Math.max(1, listing.capacity.cpuMillis);
 		const isOnOtherRack = preferredRack !== '' && listing.rack !== preferredRack;
-		// 2 exceeds every difference in leftover capacity, so the rack decides first.
-		const cost = (isOnOtherRack ? 2 : 0) + (group.definition.longRunning ? 1 - leftoverFraction : leftoverFraction);
+		// A leftover fraction is at most 1, so the rack of the data decides before it.
+		const cost = (isOnOtherRack ? 2 : 0) + countExcess(worker) + leftoverFraction;
 		if (best === undefined || cost < best.cost) {
 			best = {worker, cost};
 		}
@@ -88,6 +90,22 @@
 	return best?.worker;
 }
 
+/** Counts for a worker by how many tasks of a step its rack and it itself would exceed a limit with one more task. */
+function createExcessCounter({groups}: StepState, options: {taken: readonly Worker[]; limit: number}): (worker: Worker) => number {
+	const {taken, limit} = options;
+	const countByWorker = new Map<Worker, number>();
+	const countByRack = new Map<string, number>();
+	for (const worker of [...groups.flatMap(({tasks}) => tasks.map(task => task.worker)), ...taken]) {
+		if (worker !== undefined) {
+			const rack = worker.listing?.rack ?? '';
+			countByWorker.set(worker, (countByWorker.get(worker) ?? 0) + 1);
+			countByRack.set(rack, (countByRack.get(rack) ?? 0) + 1);
+		}
+	}
+
+	return worker => Math.max(0, (countByWorker.get(worker) ?? 0) + 1 - limit) + Math.max(0, (countByRack.get(worker.listing?.rack ?? '') ?? 0) + 1 - limit);
+}
+
 /** Free resources of a worker, less those of tasks of the same gang that have been placed there already. */
 function computeFreeResources(worker: Worker, need: Resources, taken: readonly Worker[]): Resources {
 	const free = addResources(worker.listing?.capacity ?? worker.used, worker.used, -1);
--- a/packages/core/src/jobs/pools/log-pool-loads.ts
+++ b/packages/core/src/jobs/pools/log-pool-loads.ts
@@ -4,6 +4,8 @@
 import {getReservedResources} from '../placement/get-reserved-resources.js';
 import {isWithinLimit} from '../order/is-within-limit.js';
 import {listSchedulableWorkers} from '../placement/list-schedulable-workers.js';
+import {measureReserves} from './measure-reserves.js';
+import {predictNextStart} from './predict-next-start.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type ActiveJob} from '../state/scheduler.js';
 
@@ -21,13 +23,15 @@
 	const {scheduler, now} = context;
 	const schedulable = listSchedulableWorkers(scheduler, now);
 	const waiting = measureWaitingWork(context);
+	const reserves = measureReserves(scheduler, [...scheduler.poolLoads.keys()], now);
+	const next = predictNextStart(scheduler.burstPattern);
 	for (const {name, workers, capacity, used, demand} of scheduler.poolLoads.values()) {
 		const usable = schedulable.get(name) ?? [];
 		const free = usable.reduce((sum, worker) => sum + addResources(worker.listing?.capacity ?? worker.used, worker.used, -1).cpuMillis, 0);
 		const {tasks = 0, jobs = 0, jobsAtLimit = 0} = waiting.get(name) ?? {};
 		context.effects.push({
 			type: 'log', level: 'info', event: 'pool-load', fields: {
-				pool: name, workers: workers.length, schedulable: usable.length, capacity, used: Math.round(used), free, forecast: Math.round(demand.forecast), waitingJobs: jobs, waitingTasks: tasks, jobsAtLimit,
+				pool: name, workers: workers.length, schedulable: usable.length, capacity, used: Math.round(used), free, forecast: Math.round(demand.forecast), waitingJobs: jobs, waitingTasks: tasks, jobsAtLimit, kept: reserves.get(name)?.kept, prepared: reserves.get(name)?.prepared, nextBurstMs: next === undefined ? undefined : Math.round(next.at - now), nextBurstErrorMs: next === undefined ? undefined : Math.round(next.errorMs),
 			},
 		});
 	}
--- a/packages/core/src/jobs/pools/measure-reserves.ts
+++ b/packages/core/src/jobs/pools/measure-reserves.ts
@@ -62,10 +62,9 @@
 	return reserves;
 }
 
-/** The pool whose last burst began longest ago, once every pool with demand has had one. */
+/** The quiet pool whose last burst began longest ago. Pools without bursts do not count, since a pool may run only long-running tasks. */
 function listNextPools({burstPattern}: Scheduler, pools: readonly string[]): Set<string> {
 	const quiet = pools.filter(pool => burstPattern.pools.get(pool)?.isActive === false);
 	const [first] = quiet.toSorted((left, right) => (burstPattern.pools.get(left)?.startedAt ?? 0) - (burstPattern.pools.get(right)?.startedAt ?? 0));
-	const isComplete = pools.every(pool => burstPattern.pools.has(pool));
-	return new Set(isComplete && first !== undefined ? [first] : []);
+	return new Set(first === undefined ? [] : [first]);
 }
--- a/packages/core/src/jobs/pools/observe-burst.ts
+++ b/packages/core/src/jobs/pools/observe-burst.ts
@@ -42,8 +42,10 @@
 		return;
 	}
 
-	if (known !== undefined) {
-		// The first burst of a pool confirms nothing.
+	if (known === undefined) {
+		// A pool without an earlier burst was not part of the order.
+		pattern.streak = Math.min(0, pattern.streak);
+	} else {
 		pattern.streak = isExpected ? Math.min(maximumStreak, pattern.streak + 1) : -pattern.pools.size;
 		pattern.intervals.length = isExpected ? pattern.intervals.length : 0;
 	}
--- a/packages/testing/src/jobs/pool-turns.test.ts
+++ b/packages/testing/src/jobs/pool-turns.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {defaultPoolPolicy, formerPoolPolicy} from '@rosemaryquay/core/jobs/pools/pool-policy';
+import {type FleetModel} from './fleet-model.js';
 import {simulatePoolTurns, turnMs} from './simulate-pool-turns.js';
 
 /** Turns in an order that does not repeat. */
@@ -9,6 +10,17 @@
 const loads = {
 	'regular turns': {},
 	'turns without an order': {getTurn: (sinceStartMs: number) => irregularOrder[Math.floor(sinceStartMs / turnMs) % irregularOrder.length]},
+	'a takeover amid the moves at the start of a burst': {
+		prepare(fleet: FleetModel) {
+			const killedAtMs = 17_000;
+			fleet.at(killedAtMs, () => {
+				fleet.killOwner();
+			});
+			fleet.at(killedAtMs + 1000, () => {
+				fleet.takeOver();
+			});
+		},
+	},
 };
 
 describe('planning from learned bursts, compared with equal minimum sizes', () => {
