--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -220,7 +220,7 @@
 		number: 634, level: 'info', text: 'The platform answered a request to move an instance', action: 'None.',
 	},
 	'pool-load': {
-		number: 636, level: 'info', text: 'Load and capacity of a pool, once a second, in thousandths of a core', action: 'Look here for why jobs wait: no schedulable workers, no free capacity, or organisations at their limit.',
+		number: 636, level: 'info', text: 'Load and capacity of a pool, once a second, in thousandths of a core; instances that it keeps (`kept`) and is filled up to (`prepared`); time to the predicted next burst of any pool and its error in milliseconds', action: 'Look here for why jobs wait: no schedulable workers, no free capacity, or organisations at their limit.',
 	},
 	'wave-requested': {
 		number: 630, level: 'info', text: 'The operators requested a maintenance wave', action: 'None.',
