--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -4,6 +4,8 @@
  * `leaseUntilMs` are on the worker's own clock.
  */
 import {type Estimates, type RunMeasurement, type StepRunTimes} from '../estimates/estimates.js';
+import {type BurstPattern} from '../pools/burst-pattern.js';
+import {type PoolPolicy} from '../pools/pool-policy.js';
 import {type OrderWindow} from '../runs/order-window.js';
 import {type JobOutlook} from '../order/job-outlook.js';
 import {type ServiceShares} from '../order/service-shares.js';
@@ -317,6 +319,10 @@
 	instanceListRequestedAt: number;
 	/** Load of each pool when moves were last planned. */
 	poolLoads: ReadonlyMap<string, PoolLoad>;
+	/** Rules by which moves are planned. */
+	poolPolicy: PoolPolicy;
+	/** Bursts of the pools so far. */
+	readonly burstPattern: BurstPattern;
 	readonly moves: Map<string, Move>;
 	/** Instances whose workers are drained for another pool, by id. */
 	readonly drains: Map<string, Drain>;
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -235,7 +235,7 @@
 		number: 634, level: 'info', text: 'The platform answered a request to move an instance', action: 'None.',
 	},
 	'pool-load': {
-		number: 636, level: 'info', text: 'Load and capacity of a pool, once a second, in thousandths of a core', action: 'Look here for why jobs wait: no schedulable workers, no free capacity, or organisations at their limit.',
+		number: 636, level: 'info', text: 'Load and capacity of a pool, once a second, in thousandths of a core; instances that it keeps (`kept`) and is filled up to (`prepared`); time to the predicted next burst of any pool and its error in milliseconds', action: 'Look here for why jobs wait: no schedulable workers, no free capacity, or organisations at their limit.',
 	},
 	'order-decided': {
 		number: 645, level: 'info', text: 'Organisations compete for the services named; usage, waiting work and share of each, once a second at most, in thousandths of a core', action: 'Look here for why jobs of an organisation wait: those beyond its share are placed after those of the others.',
