--- a/packages/core/src/jobs/copies/start-duplicates.ts
+++ b/packages/core/src/jobs/copies/start-duplicates.ts
@@ -149,7 +149,7 @@
 		return false;
 	}
 
-	const [worker] = chooseWorkers(group, step, {candidates: workers.filter(candidate => isSuitable(candidate, task)), now}) ?? [];
+	const [worker] = chooseWorkers(group, step, {candidates: workers.filter(candidate => isSuitable(candidate, task)), now, estimates: scheduler.estimates}) ?? [];
 	if (worker === undefined) {
 		return false;
 	}
--- a/packages/core/src/jobs/placement/choose-workers.test.ts
+++ b/packages/core/src/jobs/placement/choose-workers.test.ts
@@ -4,6 +4,7 @@
 import {createWorker} from '../state/create-worker.js';
 import {jobSchema} from '../state/job-schema.js';
 import {type StepState, type Worker} from '../state/scheduler.js';
+import {createEstimates} from '../estimates/create-estimates.js';
 import {chooseWorkers} from './choose-workers.js';
 
 const capacity = {cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0};
@@ -38,7 +39,7 @@
 	} as unknown as StepState;
 	const counts = new Map<Worker, number>();
 	for (const group of step.groups) {
-		const [worker] = chooseWorkers(group, step, {candidates: workers, now: 0}) ?? [];
+		const [worker] = chooseWorkers(group, step, {candidates: workers, now: 0, estimates: createEstimates()}) ?? [];
 		const [task] = group.tasks;
 		assert.ok(worker && task);
 		task.worker = worker;
