--- a/packages/cli/src/fleet/check-configuration-file.ts
+++ b/packages/cli/src/fleet/check-configuration-file.ts
@@ -29,7 +29,11 @@
 	const lineCounter = new LineCounter();
 	const document = parseDocument(text, {lineCounter});
 	if (document.errors.length > 0) {
-		return {configuration: undefined, findings: document.errors.map(({message, linePos}) => ({level: 'error', path: [], problem: message.split('\n')[0] ?? message, line: linePos?.[0].line ?? 1}))};
+		return {
+			configuration: undefined, findings: document.errors.map(({message, linePos}) => ({
+				level: 'error', path: [], problem: message.split('\n')[0] ?? message, line: linePos?.[0].line ?? 1,
+			})),
+		};
 	}
 
 	const isOwnFormat = document.has(ownFormatField);
@@ -38,7 +42,7 @@
 	}
 
 	const findLine = (path: Path): number => {
-		for (let length = path.length; length > 0; length--) {
+		for (let {length} = path; length > 0; length--) {
 			const node = document.getIn(path.slice(0, length), true) as {range?: [number]} | undefined;
 			if (node?.range !== undefined) {
 				return lineCounter.linePos(node.range[0]).line;
--- a/packages/core/src/jobs/configuration/check-configuration.test.ts
+++ b/packages/core/src/jobs/configuration/check-configuration.test.ts
@@ -25,7 +25,13 @@
 	{name: 'two queues with one path', configuration: createConfiguration({queues: [queue, {...queue, name: 'b'}]}), expected: /can never match/},
 	{name: 'an unknown service', configuration: createConfiguration({queues: [{...queue, service: 'x'}]}), expected: /unknown service "x"/},
 	{name: 'a queue of the spare pool', configuration: createConfiguration({queues: [{...queue, service: 'reserve'}]}), expected: /spare pool/},
-	{name: 'a queue that starves', configuration: createConfiguration({queues: [{...queue, priority: 1}, {...queue, name: 'b', pathPrefix: '/b/', openToAll: true}]}), expected: /may starve/},
+	{
+		name: 'a queue that starves', configuration: createConfiguration({
+			queues: [{...queue, priority: 1}, {
+				...queue, name: 'b', pathPrefix: '/b/', openToAll: true,
+			}],
+		}), expected: /may starve/,
+	},
 	{name: 'an objective that cannot be met', configuration: createConfiguration({queues: [{...queue, stretch: 0}]}), expected: /late as soon as they arrive/},
 	{name: 'a key of two organisations', configuration: createConfiguration({organisations: [organisation, {name: 'south', keys: ['n']}]}), expected: /same API key/},
 	{name: 'an organisation without keys', configuration: createConfiguration({organisations: [organisation, {name: 'south', keys: []}]}), expected: /has no API key/},
--- a/packages/core/src/jobs/configuration/compare-configurations.ts
+++ b/packages/core/src/jobs/configuration/compare-configurations.ts
@@ -57,7 +57,7 @@
 	return differences;
 }
 
-function compareFields(before: object | undefined, after: object | undefined): Difference['fields'] {
+function compareFields(before: NamedEntry | undefined, after: NamedEntry | undefined): Difference['fields'] {
 	const earlier = new Map<string, unknown>(Object.entries(before ?? {}));
 	const later = new Map<string, unknown>(Object.entries(after ?? {}));
 	const fields: Record<string, {before: unknown; after: unknown}> = {};
--- a/packages/core/src/jobs/estimates/encode-summary.ts
+++ b/packages/core/src/jobs/estimates/encode-summary.ts
@@ -14,7 +14,7 @@
  */
 export function encodeSummary({sketches, speeds}: Estimates): string {
 	const slow: string[] = [];
-	let length = '{"sketches":[],"slow":[]}'.length;
+	let {length} = '{"sketches":[],"slow":[]}';
 	for (const [instance, {isSlow}] of speeds) {
 		const size = measureBytes(instance);
 		if (isSlow && length + size <= maximumLength / 2) {
--- a/packages/core/src/jobs/estimates/record-judgements.ts
+++ b/packages/core/src/jobs/estimates/record-judgements.ts
@@ -68,7 +68,9 @@
 	speed.ratios.splice(0, speed.ratios.length - maximumRatios);
 	speed.evidence = Math.min(maximumEvidence, Math.max(0, speed.evidence + change));
 	if (speed.isSlow) {
-		adjustAllowance(context, {worker, speed, isNormal: change < 0, hasSlowRun});
+		adjustAllowance(context, {
+			worker, speed, isNormal: change < 0, hasSlowRun,
+		});
 	} else {
 		speed.suspectedAt = speed.evidence < suspicionEvidence ? undefined : speed.suspectedAt ?? now;
 	}
--- a/packages/core/src/jobs/order/measure-outlook.test.ts
+++ b/packages/core/src/jobs/order/measure-outlook.test.ts
@@ -18,7 +18,9 @@
 	addJob({
 		scheduler, now: acceptedAtMs, timeOfDay: acceptedAtMs, effects: [],
 	}, jobSchema.parse({
-		id: 'a', queue: 'plans', service: 'planner', organisation: 'north', acceptedAtMs, steps: [{count: 2, cpuMillis: 1000, estimatedMs: 400}, {count: 1, cpuMillis: 1000, estimatedMs: 400, after: [0]}], ...schedule,
+		id: 'a', queue: 'plans', service: 'planner', organisation: 'north', acceptedAtMs, steps: [{count: 2, cpuMillis: 1000, estimatedMs: 400}, {
+			count: 1, cpuMillis: 1000, estimatedMs: 400, after: [0],
+		}], ...schedule,
 	}));
 	const job = scheduler.jobs.get('a');
 	assert.ok(job !== undefined);
--- a/packages/core/src/jobs/pools/log-pool-loads.ts
+++ b/packages/core/src/jobs/pools/log-pool-loads.ts
@@ -4,10 +4,10 @@
 import {getReservedResources} from '../placement/get-reserved-resources.js';
 import {isWithinLimit} from '../order/is-within-limit.js';
 import {listSchedulableWorkers} from '../placement/list-schedulable-workers.js';
-import {measureReserves} from './measure-reserves.js';
-import {predictNextStart} from './predict-next-start.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type ActiveJob} from '../state/scheduler.js';
+import {measureReserves} from './measure-reserves.js';
+import {predictNextStart} from './predict-next-start.js';
 
 type WaitingWork = {tasks: number; jobs: number; jobsAtLimit: number};
 
--- a/packages/core/src/jobs/pools/plan-drains.ts
+++ b/packages/core/src/jobs/pools/plan-drains.ts
@@ -1,8 +1,10 @@
 import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {type PoolLoad, type Scheduler, type Task, type Worker} from '../state/scheduler.js';
-import {measureTimelyNeed} from './measure-timely-need.js';
+import {
+	type PoolLoad, type Scheduler, type Task, type Worker,
+} from '../state/scheduler.js';
 import {estimateDuration} from '../estimates/estimate-duration.js';
+import {measureTimelyNeed} from './measure-timely-need.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
 /** Longest time that a worker is drained for another pool. Its tasks are expected to end sooner; otherwise their estimates were wrong. */
--- a/packages/testing/src/jobs/worker-speeds.test.ts
+++ b/packages/testing/src/jobs/worker-speeds.test.ts
@@ -38,7 +38,7 @@
 }
 
 function listEvents(fleet: FleetModel, event: string): Array<{at: number; worker: unknown}> {
-	return fleet.log.filter(line => line.event === event).map(({at, fields}) => ({at, worker: fields['worker']}));
+	return fleet.log.filter(line => line.event === event).map(({at, fields}) => ({at, worker: fields.worker}));
 }
 
 /** Number of tasks on a worker at each tenth of a second. */
--- a/scripts/measure-order.js
+++ b/scripts/measure-order.js
@@ -30,7 +30,9 @@
 	});
 	const {scheduler} = simulation;
 	for (const {job} of jobs) {
-		addJob({scheduler, now: 1000, timeOfDay: 1000, effects: []}, job);
+		addJob({
+			scheduler, now: 1000, timeOfDay: 1000, effects: [],
+		}, job);
 	}
 
 	const waiting = [...scheduler.jobs.values()];
