Measure and publish the admission of overloaded queues

Cause: submission never refuses for load, so jobs that cannot be done any more occupy the capacity of others.

--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -59,6 +59,9 @@
 		commitDueAt: 0,
 		summaryDueAt: 0,
 		summary: '',
+		admission: {
+			dueAt: 0, publishedAt: Number.NEGATIVE_INFINITY, mayExist: true, isPending: false,
+		},
 		instances: new Map(),
 		instanceListDueAt: now,
 		instanceListPending: false,
--- a/packages/core/src/jobs/state/reduce-scheduler.ts
+++ b/packages/core/src/jobs/state/reduce-scheduler.ts
@@ -1,3 +1,4 @@
+import {publishAdmission} from '../admission/publish-admission.js';
 import {advanceWaves} from '../waves/advance-waves.js';
 import {requestReports} from '../runs/request-reports.js';
 import {endCalledIncarnation} from '../runs/end-called-incarnation.js';
@@ -51,6 +52,8 @@
 		}
 
 		placeReadyTasks(context);
+		// What is free shows only once the waiting tasks are placed.
+		publishAdmission(context);
 		writeProgress(context);
 		requestReports(context);
 	},
@@ -168,6 +171,10 @@
 	'move-answered'(context, event) {
 		handleMoveAnswer(context, event);
 	},
+	'admission-published'({scheduler: {admission}}, {isPresent, stored}) {
+		admission.isPending = false;
+		admission.mayExist = isPresent || !stored;
+	},
 	'wave-published'({scheduler}, {wave, state, stored}) {
 		const known = scheduler.waves.get(wave);
 		if (known?.published === state && !stored) {
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -242,6 +242,18 @@
 	readonly waves: readonly Wave[];
 };
 
+/** State of the publication of the admission record. */
+export type AdmissionPublication = {
+	/** Local time of the next measurement. */
+	dueAt: number;
+	/** Local time of the last publication. */
+	publishedAt: number;
+	/** The store may hold a record, of this owner or of a former one. */
+	mayExist: boolean;
+	/** The last write of the record is not answered yet. */
+	isPending: boolean;
+};
+
 /** State of the schedule in the process that owns it. */
 export type Scheduler = {
 	/** Number of this ownership; higher than that of every earlier owner. */
@@ -283,6 +295,7 @@
 	summaryDueAt: number;
 	/** Not used. */
 	summary: string;
+	readonly admission: AdmissionPublication;
 	readonly instances: Map<string, ListedInstance>;
 	instanceListDueAt: number;
 	instanceListPending: boolean;
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -34,6 +34,12 @@
 /** Number of jobs that have not begun, by queue; published by the owner at intervals. */
 export const summaryKey = `${root}summary`;
 
+/** Admission record: the queues that are overloaded, and how long new jobs of these wait. Absent while there is none. */
+export const admissionKey = `${root}admission`;
+
+/** Prefix of the marks of refused submissions; not below `jobChangesPrefix`, because the owner does not watch them. */
+export const refusalsPrefix = `${root}refusals/`;
+
 /** Prefix of the lists of instances whose maintenance is finished, one for each wave; the waves themselves are stored by the operators. */
 export const wavesPrefix = `${root}waves/`;
 
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -9,7 +9,7 @@
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
 import {
-	holdersKey, commitGuardKey, jobParts, ownerKey, summaryKey, wavesPrefix,
+	admissionKey, holdersKey, commitGuardKey, jobParts, ownerKey, summaryKey, wavesPrefix,
 } from './keys.js';
 import {type OwnershipGrant} from './owner-election.js';
 import {type PayloadCache} from './payload-cache.js';
@@ -99,6 +99,15 @@
 		const value = JSON.stringify({publishedAtMs: Date.now(), queues});
 		await writeAsOwner([{type: 'put', key: summaryKey, value}], context);
 	},
+	async 'publish-admission'({record}, context) {
+		const operation: Operation = record === undefined ? {type: 'delete', key: admissionKey} : {type: 'put', key: admissionKey, value: JSON.stringify(record)};
+		const stored = await writeAsOwner([operation], context);
+		if (record !== undefined) {
+			context.logger.log('admission-published', {queues: Object.keys(record.queues), stored});
+		}
+
+		context.dispatch({type: 'admission-published', isPresent: record !== undefined, stored});
+	},
 	async 'publish-wave'({wave, state}, context) {
 		const stored = await writeAsOwner([context.platform.operatorFormat.encodeWaveStatus(wave, state)], context);
 		context.logger.log('wave-status-published', {wave, state, stored});
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -159,6 +159,9 @@
 	'call-refused': {
 		number: 613, level: 'info', text: 'A call was refused', action: 'Look up the reason in docs/OPERATIONS.md.',
 	},
+	'admission-published': {
+		number: 641, level: 'info', text: 'The admission record of overloaded queues was published', action: 'Look at event 636 for the load of their pools.',
+	},
 	'call-failed': {
 		number: 614, level: 'error', text: 'A call failed because of an internal error', action: 'Report the log line.',
 	},
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -2,6 +2,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type AdmissionRecord} from '@rosemaryquay/core/jobs/admission/admission-record';
 import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
 import {type SchedulerEffect} from '@rosemaryquay/core/jobs/state/effect';
 import {type OrderAnswer, type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
@@ -45,6 +46,8 @@
 	orderTransmissionMs = 0;
 	/** Wall clock of the owner minus the true time, in milliseconds. */
 	wallClockOffsetMs = 0;
+	/** Admission record in the store. */
+	admissionRecord: AdmissionRecord | undefined;
 	owner: ModelledOwner | undefined;
 	#configuration: Configuration;
 	readonly #store = new StoredSchedule();
@@ -109,6 +112,18 @@
 			});
 		},
 		'publish-summary': () => undefined,
+		'publish-admission': ({record}, owner) => {
+			this.#network.deliver(() => {
+				const stored = owner.fence === this.#fence;
+				if (stored) {
+					this.admissionRecord = record;
+				}
+
+				this.#network.deliver(() => {
+					this.dispatch({type: 'admission-published', isPresent: record !== undefined, stored}, owner);
+				});
+			});
+		},
 		'publish-wave': ({wave, state}, owner) => {
 			this.waveStates.set(wave, state);
 			const request = state === 'completed' ? this.#waves.find(({number}) => number === wave) : undefined;
