Refuse submissions of overloaded queues by the admission record in force

The transaction that stores a job also compares the revision of the record, so an entry instance decides by the record in force and makes no additional call without overload. A refusal is stored as a mark that every accepting transaction compares: an attempt of the same job that the store carries out late then fails, so that 'not run' stays true.

--- a/packages/daemon/src/jobs/follow-prefix.ts
+++ b/packages/daemon/src/jobs/follow-prefix.ts
@@ -11,8 +11,8 @@
 	/** A complete listing, which replaces everything received before: keys that it lacks have been deleted. */
 	onListing(listing: Listing): void;
 	onChanges(changes: readonly Change[]): void;
-	/** Everything received so far was up to date at this local monotonic time in milliseconds. */
-	onUpToDate?(at: number): void;
+	/** Everything received so far was up to date at this local monotonic time in milliseconds, when the store had reached `revision`. */
+	onUpToDate?(at: number, revision: number): void;
 	/** A listing failed or a watch ended; it is retried with backoff. */
 	onDisconnected?(reason: string): void;
 };
@@ -63,7 +63,7 @@
 
 			revision = listing.value.revision;
 			listener.onListing(listing.value);
-			listener.onUpToDate?.(requestedAt);
+			listener.onUpToDate?.(requestedAt, revision);
 		}
 
 		const end = await watch(store, prefix, {...options, revision});
@@ -99,7 +99,7 @@
 			receivedEvents++;
 			revision = event.revision;
 			listener.onChanges(event.changes);
-			listener.onUpToDate?.(event.completeUntil ?? performance.now());
+			listener.onUpToDate?.(event.completeUntil ?? performance.now(), revision);
 		});
 		state.stopWatch = () => {
 			stop();
--- a/packages/daemon/src/jobs/job-api-server.ts
+++ b/packages/daemon/src/jobs/job-api-server.ts
@@ -3,9 +3,11 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {type AdmissionDecision, type RefusalReason} from '@rosemaryquay/core/jobs/admission/decide-admission';
 import {type Queue} from '@rosemaryquay/core/jobs/state/configuration-schema';
 import {type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Logger} from '../create-logger.js';
+import {AdmissionGate} from './admission-gate.js';
 import {findOrganisation} from './find-organisation.js';
 import {findPort} from './find-port.js';
 import {findQueue} from './find-queue.js';
@@ -35,7 +37,7 @@
 /** Time without a successful call to the store after which requests are refused at once; an idle watch of the operators' state is answered every second. */
 const storeUnresponsiveMs = 1800;
 
-/** Attempts to accept a job when the configuration keeps changing concurrently. */
+/** Attempts to accept a job when the configuration or the admission record keeps changing concurrently. */
 const acceptanceAttempts = 3;
 
 /** Longer than the callers' own keep-alive time-out, so that they close an idle connection first. */
@@ -48,9 +50,20 @@
 	readonly organisation: string;
 	readonly id: string;
 	readonly deadlineAt: number;
+	/** Store revision that was known when the request arrived. */
+	readonly knownRevision: number;
 };
 
-type Reply = {readonly status: number; readonly body?: string; readonly reason?: string; readonly retryAfterSeconds?: number};
+type Reply = {
+	readonly status: number;
+	readonly body?: string;
+	readonly reason?: string;
+	readonly retryAfterSeconds?: number;
+	/** Further fields of the log event of a refusal. */
+	readonly logFields?: Readonly<Record<string, unknown>>;
+};
+
+const refusalStatuses: Readonly<Record<RefusalReason, number>> = {'over-share': 429, 'no-room': 503};
 
 type Options = {
 	readonly settings: ProcessSettings;
@@ -65,6 +78,7 @@
 export class JobApiServer {
 	readonly #options: Options;
 	readonly #server: Server;
+	readonly #admission = new AdmissionGate();
 	#bounds: ProcessSettings['bounds'];
 	#openRequests = 0;
 	#isStopping = false;
@@ -128,11 +142,11 @@
 
 	#sendReply(request: IncomingMessage, response: ServerResponse, reply: Reply): void {
 		const {platform, logger} = this.#options;
-		const {status, reason, retryAfterSeconds} = reply;
+		const {status, reason, retryAfterSeconds, logFields} = reply;
 		const body = reply.body ?? (reason === undefined ? '{}' : platform.callerFormat.encodeProblem(reason));
 		if (reason !== undefined) {
 			logger.log('call-refused', {
-				request: request.headers['request-id'], method: request.method, path: request.url, status, reason, configurationAgeMs: Math.round(this.#options.operatorCache.ageMs),
+				request: request.headers['request-id'], method: request.method, path: request.url, status, reason, configurationAgeMs: Math.round(this.#options.operatorCache.ageMs), ...logFields,
 			});
 		}
 
@@ -148,6 +162,7 @@
 	async #createReply(request: IncomingMessage): Promise<Reply> {
 		const {operatorCache, platform} = this.#options;
 		const arrivedAt = performance.now();
+		const knownRevision = Math.max(this.#options.jobs.knownRevision, operatorCache.storeRevision);
 		const {configuration} = operatorCache.state;
 		if (configuration === undefined) {
 			return unavailable('no-configuration');
@@ -168,7 +183,7 @@
 
 		const id = path.slice(queue.pathPrefix.length);
 		const authorized: AuthorizedRequest = {
-			request, queue, organisation, id, deadlineAt: arrivedAt + (platform.callerFormat.readDeadline(request.headers) ?? defaultDeadlineMs) - responseReserveMs,
+			request, queue, organisation, id, deadlineAt: arrivedAt + (platform.callerFormat.readDeadline(request.headers) ?? defaultDeadlineMs) - responseReserveMs, knownRevision,
 		};
 		return this.#isStoreUnresponsive() ? unavailable('store-away') : replyBeforeDeadline(this.#route(authorized), authorized);
 	}
@@ -225,9 +240,17 @@
 		let {queue, organisation} = authorized;
 		for (let attempt = 0; attempt < acceptanceAttempts; attempt++) {
 			const {revision} = operatorCache.state;
-			const accepted = await jobs.accept(createJob(decoded.submission, {id: authorized.id, queue, organisation}), {
-				payload: decoded.submission.payload, condition: platform.operatorFormat.createConfigurationCondition(revision), deadlineAt: authorized.deadlineAt,
-			});
+			const job = createJob(decoded.submission, {id: authorized.id, queue, organisation});
+			const decision = this.#admission.decide(job, Date.now());
+			const accepted = decision.type === 'refuse'
+				? await jobs.refuse(job.id, {admissionRevision: this.#admission.revision, deadlineAt: authorized.deadlineAt})
+				: await jobs.accept(job, {
+					payload: decoded.submission.payload,
+					condition: platform.operatorFormat.createConfigurationCondition(revision),
+					admissionRevision: this.#admission.revision,
+					knownRevision: authorized.knownRevision,
+					deadlineAt: authorized.deadlineAt,
+				});
 			if (accepted.type === 'accepted') {
 				logger.log('job-accepted', {
 					request: authorized.request.headers['request-id'], job: authorized.id, queue: queue.name, organisation, revision,
@@ -243,6 +266,15 @@
 				return unavailable(`store-unavailable: ${accepted.detail}`);
 			}
 
+			if (accepted.type === 'refused') {
+				return decision.type === 'refuse' ? this.#refuseForLoad(queue.name, decision) : unavailable('refused-elsewhere');
+			}
+
+			if (accepted.type === 'admission-changed') {
+				this.#admission.adopt(accepted.entry, accepted.storeRevision);
+				continue;
+			}
+
 			if (accepted.entry !== undefined) {
 				operatorCache.applyEntry(accepted.entry);
 			}
@@ -255,7 +287,15 @@
 			({queue, organisation} = reauthorized);
 		}
 
-		return unavailable('configuration-keeps-changing');
+		return unavailable('conditions-keep-changing');
+	}
+
+	#refuseForLoad(queue: string, decision: Extract<AdmissionDecision, {type: 'refuse'}>): Reply {
+		const {reason, waitMs, recordAgeMs} = decision;
+		const retryAfterSeconds = this.#admission.scheduleReturn(queue, decision, performance.now());
+		return {
+			status: refusalStatuses[reason], reason, retryAfterSeconds, logFields: {waitMs: Math.round(waitMs), recordAgeMs: Math.round(recordAgeMs), retryAfterSeconds},
+		};
 	}
 
 	/** Authorises a request again after the configuration changed between the first authorisation and the write. */
--- a/packages/daemon/src/jobs/job-store.ts
+++ b/packages/daemon/src/jobs/job-store.ts
@@ -4,19 +4,21 @@
 import {z} from 'zod';
 import {type EndedJob, type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Store} from '@rosemaryquay/core/store/store';
-import {type Comparison, type Entry} from '@rosemaryquay/core/store/transaction';
+import {type Comparison, type Entry, type StoreOutcome} from '@rosemaryquay/core/store/transaction';
 import {createEndedJobKey} from './create-ended-job-key.js';
 import {createJobKey} from './create-job-key.js';
 import {createJobPrefix} from './create-job-prefix.js';
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
+import {createRefusalKey} from './create-refusal-key.js';
 import {encodeJob} from './encode-job.js';
-import {jobsPrefix, summaryKey} from './keys.js';
+import {admissionKey, jobsPrefix, summaryKey} from './keys.js';
 import {parseEndedJob} from './parse-ended-job.js';
 import {parseJob} from './parse-job.js';
 import {parseJobKey} from './parse-job-key.js';
 import {parseStoredValue} from './parse-stored-value.js';
 import {type JobState} from './ports.js';
+import {RefusalLease} from './refusal-lease.js';
 
 /** Delay before a failed write is retried. */
 const retryDelayMs = 100;
@@ -39,11 +41,28 @@
 	| {readonly type: 'accepted'}
 	/** The configuration that authorised the request is no longer in force; `entry` contains the current one. */
 	| {readonly type: 'configuration-changed'; readonly entry: Entry | undefined}
+	/** Another admission record is in force than the one that the job was admitted by. `entry` contains it; undefined if there is none. */
+	| {readonly type: 'admission-changed'; readonly entry: Entry | undefined; readonly storeRevision: number}
+	/** Another entry instance refused a submission of the same job after this one arrived; the job is definitely not stored. */
+	| {readonly type: 'refused'}
 	/** The job is definitely not stored. */
 	| {readonly type: 'unavailable'; readonly detail: string}
 	/** The job may have been stored, or may still be stored later. */
 	| {readonly type: 'unknown'; readonly detail: string};
 
+/** Outcome of a refusal. `refused`: the job is definitely not stored, and no submission that arrived before can store it. `accepted`: it is stored already. */
+export type Refusal = {readonly type: 'refused'} | {readonly type: 'accepted'} | Extract<Acceptance, {type: 'admission-changed' | 'unavailable' | 'unknown'}>;
+
+type AcceptOptions = {
+	payload: string;
+	condition: Comparison;
+	/** Revision of the admission record that the job was admitted by; 0 for none. */
+	admissionRevision?: number;
+	/** Store revision that was known when the submission arrived; a refusal of the same job that is not later does not concern the submission. */
+	knownRevision?: number;
+	deadlineAt: number;
+};
+
 /** The state of a stored job; `acceptedRevision` is the store revision of its part `accepted`, 0 once the job has ended. */
 export type FoundJob = {readonly organisation: string; readonly queue: string; readonly state: JobState; readonly acceptedRevision: number};
 
@@ -56,8 +75,12 @@
 	#lastProbedAt = Number.NEGATIVE_INFINITY;
 	readonly #endedJobs = new LRUCache<string, FoundJob>({max: endedJobCacheSize});
 
+	readonly #refusalLease: RefusalLease;
+	#knownRevision = 0;
+
 	constructor(options: {store: Store}) {
 		this.#store = options.store;
+		this.#refusalLease = new RefusalLease(options);
 	}
 
 	/** Local monotonic time in milliseconds of the last successful call to the store; refusals do not count. */
@@ -65,33 +88,64 @@
 		return this.#lastSucceededAt;
 	}
 
+	/** Highest store revision that an answer has shown. */
+	get knownRevision(): number {
+		return this.#knownRevision;
+	}
+
 	/**
-	 * Stores a job, provided that the configuration that authorised it is still in force. Idempotent: a job that is
-	 * stored already is accepted again.
+	 * Stores a job, provided that the configuration that authorised it and the admission record that admitted it are still
+	 * in force. Idempotent: a job that is stored already is accepted again.
 	 *
 	 * @param job - the job
-	 * @param options - payload of the job, condition on the configuration, and the local monotonic time in milliseconds after which no further attempt is made
+	 * @param options - payload of the job, conditions, and the local monotonic time in milliseconds after which no further attempt is made
 	 * @returns whether the job is stored; never rejects
 	 */
-	async accept(job: Job, options: {payload: string; condition: Comparison; deadlineAt: number}): Promise<Acceptance> {
-		const {payload, condition, deadlineAt} = options;
+	async accept(job: Job, options: AcceptOptions): Promise<Acceptance> {
+		const {payload, condition, deadlineAt, knownRevision = this.#knownRevision} = options;
+		let {admissionRevision = 0} = options;
+		let refusalRevision = 0;
+		const refusalKey = createRefusalKey(job.id);
 		const key = createJobKey(job.id, 'accepted');
 		const endedKey = createEndedJobKey(job.id);
 		const value = encodeJob(job);
 		let isUnknown = false;
 		for (;;) {
 			const outcome = await this.#call(this.#store.transact({
-				compare: [condition, {key, modRevision: 0}, {key: endedKey, modRevision: 0}],
-				success: [{type: 'put', key, value}, {type: 'put', key: createPayloadKey(job.id), value: payload}],
-				failure: [{type: 'get', key: condition.key}, {type: 'get', key}, {type: 'get', key: endedKey}],
+				compare: [condition, {key, modRevision: 0}, {key: endedKey, modRevision: 0}, {key: admissionKey, modRevision: admissionRevision}, {key: refusalKey, modRevision: refusalRevision}],
+				success: [{type: 'put', key, value}, {type: 'put', key: createPayloadKey(job.id), value: payload}, ...(refusalRevision === 0 ? [] : [{type: 'delete' as const, key: refusalKey}])],
+				failure: [condition.key, key, endedKey, admissionKey, refusalKey].map(failedKey => ({type: 'get', key: failedKey})),
 			}));
 			if (outcome.ok && outcome.value.succeeded) {
 				return {type: 'accepted'};
 			}
 
 			if (outcome.ok) {
-				const [configuration, stored, ended] = outcome.value.entries;
-				return stored === undefined && ended === undefined ? this.#toAcceptance(isUnknown, configuration) : {type: 'accepted'};
+				const [configuration, stored, ended, admission, refusal] = outcome.value.entries;
+				if (stored !== undefined || ended !== undefined) {
+					return {type: 'accepted'};
+				}
+
+				if (!isMet(condition, configuration)) {
+					return this.#toAcceptance(isUnknown, configuration);
+				}
+
+				if ((refusal?.modRevision ?? 0) > Math.max(refusalRevision, knownRevision)) {
+					return {type: 'refused'};
+				}
+
+				// An earlier attempt may have stored the job under the former record, so it is not decided again.
+				if (!isUnknown && (admission?.modRevision ?? 0) !== admissionRevision) {
+					return {type: 'admission-changed', entry: admission, storeRevision: outcome.value.revision};
+				}
+
+				if (performance.now() > deadlineAt) {
+					return {type: isUnknown ? 'unknown' : 'unavailable', detail: 'The conditions keep changing'};
+				}
+
+				admissionRevision = admission?.modRevision ?? 0;
+				refusalRevision = refusal?.modRevision ?? 0;
+				continue;
 			}
 
 			isUnknown ||= outcome.reason !== 'unavailable';
@@ -104,6 +158,53 @@
 		}
 	}
 
+	/**
+	 * Marks a job as refused, provided that it is not stored and that the admission record is still in force. The mark lets
+	 * every attempt to store the job fail that belongs to a submission from before, also one that the store carries out late.
+	 *
+	 * @param id - identifier of the job
+	 * @param options - revision of the admission record, 0 for none, and the local monotonic time in milliseconds after which no further attempt is made
+	 * @returns whether the job is refused; never rejects
+	 */
+	async refuse(id: string, {admissionRevision, deadlineAt}: {admissionRevision: number; deadlineAt: number}): Promise<Refusal> {
+		const key = createJobKey(id, 'accepted');
+		const endedKey = createEndedJobKey(id);
+		let isUnknown = false;
+		for (;;) {
+			const lease = await this.#refusalLease.get();
+			const outcome = lease.ok
+				? await this.#call(this.#store.transact({
+					compare: [{key, modRevision: 0}, {key: endedKey, modRevision: 0}, {key: admissionKey, modRevision: admissionRevision}],
+					success: [{
+						type: 'put', key: createRefusalKey(id), value: '{}', leaseId: lease.value,
+					}],
+					failure: [key, endedKey, admissionKey].map(failedKey => ({type: 'get', key: failedKey})),
+				}))
+				: lease;
+			if (outcome.ok && outcome.value.succeeded) {
+				return {type: 'refused'};
+			}
+
+			if (outcome.ok) {
+				const [stored, ended, admission] = outcome.value.entries;
+				return stored === undefined && ended === undefined
+					? {type: 'admission-changed', entry: admission, storeRevision: outcome.value.revision}
+					: {type: 'accepted'};
+			}
+
+			if (outcome.reason === 'invalid' || outcome.reason === 'lease-lost') {
+				this.#refusalLease.drop();
+			}
+
+			isUnknown ||= outcome.reason === 'outcome-unknown';
+			if (performance.now() + retryDelayMs + lastAttemptReserveMs > deadlineAt) {
+				return {type: isUnknown ? 'unknown' : 'unavailable', detail: outcome.detail ?? outcome.reason};
+			}
+
+			await delay(retryDelayMs);
+		}
+	}
+
 	/**
 	 * Looks a job up.
 	 *
@@ -202,10 +303,11 @@
 	}
 
 	/** Awaits a call to the store and records its time if it succeeds. */
-	async #call<Outcome extends {readonly ok: boolean}>(call: Promise<Outcome>): Promise<Outcome> {
+	async #call<Value extends {readonly revision: number}>(call: Promise<StoreOutcome<Value>>): Promise<StoreOutcome<Value>> {
 		const outcome = await call;
 		if (outcome.ok) {
 			this.#lastSucceededAt = performance.now();
+			this.#knownRevision = Math.max(this.#knownRevision, outcome.value.revision);
 		}
 
 		return outcome;
@@ -216,6 +318,10 @@
 	}
 }
 
+function isMet({modRevision, value}: Comparison, entry: Entry | undefined): boolean {
+	return (entry?.modRevision ?? 0) === modRevision && (value === undefined || entry?.value === value);
+}
+
 function decodeFoundJob(entries: readonly Entry[]): FoundJob | undefined {
 	const parts = new Map(entries.map(entry => [parseJobKey(entry.key)?.part, entry]));
 	const accepted = parts.get('accepted');
--- a/packages/daemon/src/jobs/operator-state-cache.ts
+++ b/packages/daemon/src/jobs/operator-state-cache.ts
@@ -15,6 +15,7 @@
 		configuration: undefined, revision: 0, withdrawnZones: [], waves: [],
 	};
 
+	#storeRevision = 0;
 	#upToDateAt = Number.NEGATIVE_INFINITY;
 	#isDisconnected = false;
 	#stopFollowing: (() => void) | undefined;
@@ -28,6 +29,11 @@
 		return this.#state;
 	}
 
+	/** Highest revision that the store is known to have reached. */
+	get storeRevision(): number {
+		return this.#storeRevision;
+	}
+
 	/** Time since the cache was last confirmed to be up to date, in milliseconds. */
 	get ageMs(): number {
 		return performance.now() - this.#upToDateAt;
@@ -49,7 +55,8 @@
 					this.#decodeState();
 				}
 			},
-			onUpToDate: at => {
+			onUpToDate: (at, revision) => {
+				this.#storeRevision = Math.max(this.#storeRevision, revision);
 				this.#upToDateAt = Math.max(this.#upToDateAt, at);
 				if (this.#isDisconnected) {
 					this.#isDisconnected = false;
