--- a/packages/core/src/jobs/admission/list-waiting-jobs.ts
+++ b/packages/core/src/jobs/admission/list-waiting-jobs.ts
@@ -1,3 +1,4 @@
+import {estimateCriticalPath} from '../estimates/estimate-critical-path.js';
 import {estimateDuration} from '../estimates/estimate-duration.js';
 import {classifyLateness, type Lateness} from '../order/classify-lateness.js';
 import {isWithinLimit} from '../order/is-within-limit.js';
@@ -5,6 +6,7 @@
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type ActiveJob, type Scheduler, type TaskGroup} from '../state/scheduler.js';
+import {usefulnessMultiple} from './usefulness-multiple.js';
 
 /** Lateness class of jobs that are of no use any more; they wait behind all others. */
 const uselessLateness = 2;
@@ -19,6 +21,8 @@
 	readonly waitingWork: number;
 	/** Work that is left in its tasks on workers. */
 	readonly assignedWork: number;
+	/** Time until the job is of no use any more even if the rest of it then starts, in milliseconds. */
+	readonly usefulForMs: number;
 };
 
 /**
@@ -37,11 +41,20 @@
 			continue;
 		}
 
-		const {service, priority} = findQueuePolicy(scheduler, job);
+		const {service, priority, stretch, targetLatencyMs} = findQueuePolicy(scheduler, job);
 		const lateness = classifyLateness(scheduler, job, now);
 		const {unassigned, assigned, isAtLimit} = measureWork(scheduler, job);
+		const current = job.occurrences.get(job.completedOccurrences) ?? [];
+		const remainingMs = estimateCriticalPath(scheduler, job, position => current[position]?.remaining !== 0);
+		const usefulMs = usefulnessMultiple * ((stretch * estimateCriticalPath(scheduler, job)) + targetLatencyMs);
 		waiting.push({
-			service, organisation: job.definition.organisation, priority, lateness, waitingWork: isAtLimit || lateness >= uselessLateness ? 0 : unassigned, assignedWork: assigned,
+			service,
+			organisation: job.definition.organisation,
+			priority,
+			lateness,
+			waitingWork: isAtLimit || lateness >= uselessLateness ? 0 : unassigned,
+			assignedWork: assigned,
+			usefulForMs: job.acceptedAt + usefulMs - remainingMs - now,
 		});
 	}
 
--- a/packages/core/src/jobs/admission/measure-waits.ts
+++ b/packages/core/src/jobs/admission/measure-waits.ts
@@ -37,13 +37,15 @@
  */
 export function measureWaits({jobs, forecast, priority, beyondShare}: Options): Wait[] {
 	const candidates = [...jobs, ...beyondShare?.jobs ?? []].filter(job => job.priority === priority && job.waitingWork > 0);
+	const sortedJobs = jobs.toSorted(compareJobs);
+	const sortedOwn = beyondShare?.jobs.toSorted(compareJobs) ?? [];
 	const waits: Wait[] = [];
 	for (const work of chooseWorks(candidates)) {
 		const measure = (latest: number): number => {
 			const isAhead = (job: WaitingJob): boolean => (job.priority < priority && job.waitingWork > 0)
 				|| (job.priority === priority && job.lateness <= latest && job.waitingWork > 0 && job.waitingWork + job.assignedWork <= work);
-			const others = sumAhead(jobs, isAhead);
-			const own = sumAhead(beyondShare?.jobs ?? [], isAhead);
+			const others = sumAhead(sortedJobs, isAhead, forecast);
+			const own = sumAhead(sortedOwn, isAhead, forecast);
 			// The organisation gets its share while others wait, and everything afterwards.
 			const ownWork = beyondShare === undefined ? others.work : Math.min(own.work / beyondShare.share.fraction, own.work + others.work);
 			let assigned = 0;
@@ -72,11 +74,17 @@
 	return [...works];
 }
 
-function sumAhead(jobs: readonly WaitingJob[], isAhead: (job: WaitingJob) => boolean): Ahead {
+/** Order in which jobs are served in the best case of a new one. */
+function compareJobs(left: WaitingJob, right: WaitingJob): number {
+	return left.priority - right.priority || left.lateness - right.lateness || (left.waitingWork + left.assignedWork) - (right.waitingWork + right.assignedWork);
+}
+
+/** Sums what is ahead. Jobs whose turn comes when they are of no use any more let others pass, so they are not ahead. */
+function sumAhead(sorted: readonly WaitingJob[], isAhead: (job: WaitingJob) => boolean, forecast: CapacityForecast): Ahead {
 	let work = 0;
 	let count = 0;
-	for (const job of jobs) {
-		if (isAhead(job)) {
+	for (const job of sorted) {
+		if (isAhead(job) && measureServiceTime(work, forecast) <= job.usefulForMs) {
 			work += job.waitingWork;
 			count++;
 		}
