--- a/packages/testing/src/jobs/simulate-overload.ts
+++ b/packages/testing/src/jobs/simulate-overload.ts
@@ -13,8 +13,16 @@
 const burstMs = 10_000;
 export const burstEndMs = burstStartMs + burstMs;
 
-/** Time after the burst in which all jobs end that are still useful. */
-const settlingMs = 40_000;
+/** Time after the burst in which all jobs end, also those of no use. */
+const settlingMs = 150_000;
+
+const urgentQueue = 'watches';
+const urgentPolicy = {
+	queue: urgentQueue, priority: 0, stretch: 2, targetLatencyMs: 2500,
+};
+
+/** Length of urgent tasks relative to others. */
+const urgentLength = 3;
 
 /** A caller gives up once the answer would be of no use. */
 const usefulMultiple = 3;
@@ -26,6 +34,8 @@
 	isAdmissionUsed: boolean;
 	/** Part of the jobs that one hot organisation sends, of 1. */
 	hotFraction?: number;
+	/** Part of the jobs that are urgent, of 1: long ones of a queue of higher priority that stay useful for longer. */
+	urgentFraction?: number;
 	/** Real run time relative to the estimate, within this factor in either direction. */
 	estimateError?: number;
 	/** Changes the fleet before the burst. */
@@ -67,11 +77,14 @@
  * simulateOverload({seed: 1, overload: 5, isAdmissionUsed: true}).onTime;
  */
 export function simulateOverload(options: Options): OverloadResult {
-	const {seed, overload, isAdmissionUsed, hotFraction = 0, estimateError = 1, prepare, returnAllAt} = options;
+	const {seed, overload, isAdmissionUsed, hotFraction = 0, urgentFraction = 0, estimateError = 1, prepare, returnAllAt} = options;
 	const factors = new Map<string, number>();
+	const configuration = createConfiguration();
 	const workers = createWorkers(workerCount);
 	const fleet = new FleetModel({
-		seed, configuration: createConfiguration(), workers,
+		seed,
+		configuration: {...configuration, queues: configuration.queues.map(queue => ({...queue, priority: queue.name === urgentQueue ? 0 : 1}))},
+		workers,
 		instances: workers.map(({id, instance, service, availabilityZone, capacity}) => ({
 			id: instance, pool: service, state: 'up' as const, availabilityZone, capacity, worker: id,
 		})),
@@ -103,13 +116,16 @@
 	for (let at = burstStartMs; at < burstEndMs; at += fleet.draw(500, 1500) / (servedJobsPerSecond * overload)) {
 		const firstAt = Math.round(at);
 		const id = `j${submissions.length}`;
-		const estimatedMs = fleet.draw(500, 1500);
+		const isUrgent = fleet.draw(1, 100) <= urgentFraction * 100;
+		const estimatedMs = fleet.draw(500, 1500) * (isUrgent ? urgentLength : 1);
 		factors.set(id, estimateError ** (fleet.draw(-100, 100) / 100));
 		const step = {count: 8, cpuMillis: 1500, estimatedMs};
 		const steps = fleet.draw(1, 10) <= 6 ? [step, {...step, after: [0]}] : [step];
-		const job = createJob(id, {acceptedAtMs: firstAt, steps, organisation: fleet.draw(1, 100) <= hotFraction * 100 ? 'south' : 'north'});
+		const job = createJob(id, {
+			...(isUrgent ? urgentPolicy : {priority: 1}), acceptedAtMs: firstAt, steps, organisation: fleet.draw(1, 100) <= hotFraction * 100 ? 'south' : 'north',
+		});
 		const submission: Submission = {
-			job, firstAt, objectiveMs: (1.6 * estimatedMs * steps.length) + 600, acceptedAt: undefined, refusals: 0,
+			job, firstAt, objectiveMs: (job.stretch * estimatedMs * steps.length) + job.targetLatencyMs, acceptedAt: undefined, refusals: 0,
 		};
 		submissions.push(submission);
 		fleet.at(firstAt, () => {
