Place older jobs first among jobs of nearly the same rating

Change: ratings are compared in classes a factor of 1.3 apart; within a class the older job goes first.

--- a/packages/core/src/jobs/order/order-jobs.ts
+++ b/packages/core/src/jobs/order/order-jobs.ts
@@ -13,6 +13,9 @@
 
 type Account = {readonly capacity: Resources; readonly balances: ReadonlyMap<string, Balance>};
 
+/** Ratio between two classes of ratings; smaller differences are within the error of learned run times. */
+const ratingClassRatio = 1.3;
+
 /**
  * Orders waiting jobs for placement: long-running jobs, jobs of organisations that use less than their share of the
  * service, other jobs, and jobs that are no longer of use. Within each of these, jobs go by priority, then by the value
@@ -63,7 +66,12 @@
 		return left.rating === 0 ? 1 : -1;
 	}
 
-	return left.priority - right.priority || right.rating - left.rating || left.dueAt - right.dueAt;
+	return left.priority - right.priority || classifyRating(right.rating) - classifyRating(left.rating) || left.dueAt - right.dueAt;
+}
+
+/** Ratings of one class count as equal: learned run times differ a little between equal jobs, and newer jobs would else be placed before older ones. */
+function classifyRating(rating: number): number {
+	return rating === 0 ? 0 : Math.round(Math.log(rating) / Math.log(ratingClassRatio));
 }
 
 /** Opens accounts for the services on which organisations compete. */
