--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -1,10 +1,10 @@
 import {defaultPoolPolicy} from '../pools/pool-policy.js';
+import {createEstimates} from '../estimates/create-estimates.js';
+import {restoreSummary} from '../estimates/restore-summary.js';
 import {type Configuration} from './configuration-schema.js';
 import {
 	initialOrderWindow, leaseSlackMs, longestTaskLeaseMs, taskLeaseMs, slowestClockRate,
 } from './constants.js';
-import {createEstimates} from '../estimates/create-estimates.js';
-import {restoreSummary} from '../estimates/restore-summary.js';
 import {createWorker} from './create-worker.js';
 import {type LeaseHolder, type Scheduler} from './scheduler.js';
 
