--- a/packages/core/src/jobs/order/order-jobs.ts
+++ b/packages/core/src/jobs/order/order-jobs.ts
@@ -13,7 +13,7 @@
 
 type Account = {readonly capacity: Resources; readonly balances: ReadonlyMap<string, Balance>};
 
-/** Ratio between two classes of ratings; smaller differences come from the error of learned run times; wider classes (1.1, 1.3) cost timely jobs in bursts. */
+/** Ratio between two classes of ratings; smaller differences come from the error of learned run times; wider classes ignore real differences in value. */
 const ratingClassRatio = 1.03;
 
 /**
--- a/packages/testing/src/jobs/duplicates.test.ts
+++ b/packages/testing/src/jobs/duplicates.test.ts
@@ -5,7 +5,7 @@
 import {type Moment, simulateDuplicates} from './simulate-duplicates.js';
 import {type TaskBehaviour} from './worker-model.js';
 
-/** Seeds of each case; 1,000 seeds in total were run by hand. */
+/** Seeds of each case. */
 const seedsPerMoment = 30;
 
 const moments: readonly Moment[] = ['decision', 'order', 'answer', 'end', 'none'];
