--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -27,7 +27,7 @@
 /** The same part while no more than this part of the service's cores is in use. */
 const idleFraction = 0.5;
 
-/** Time that a suspected task waits for its worker to become empty, in milliseconds; then it is started beside the tasks that are left. */
+/** Time that a suspected task waits for the worker that gets no other tasks to become empty, in milliseconds; then it is started beside the tasks that are left. */
 const maximumEmptyingMs = 3000;
 
 /**
@@ -127,14 +127,22 @@
 		return true;
 	}
 
-	const emptied = workers.filter(worker => fitsOnceEmpty(group, worker, now))
-		.toSorted((left, right) => countOtherTasks(left, now) - countOtherTasks(right, now))[0];
+	const emptied = chooseWorkerToEmpty(group, workers, now);
 	if (emptied === undefined) {
 		return false;
 	}
 
+	// The wait begins with the choice of the worker: until then, the worker has been given other tasks.
+	group.emptying = group.emptying?.worker === emptied.id ? group.emptying : {worker: emptied.id, since: now};
 	workers.splice(workers.indexOf(emptied), 1);
-	return now - group.unassignedSince > maximumEmptyingMs && start(context, {group, step}, [emptied]);
+	return now - group.emptying.since > maximumEmptyingMs && start(context, {group, step}, [emptied]);
+}
+
+/** Keeps to the worker that is being emptied for a group already; otherwise takes the one with the fewest tasks. */
+function chooseWorkerToEmpty(group: TaskGroup, workers: readonly Worker[], now: number): Worker | undefined {
+	const suitable = workers.filter(worker => fitsOnceEmpty(group, worker, now));
+	return suitable.find(({id}) => id === group.emptying?.worker)
+		?? suitable.toSorted((left, right) => countOtherTasks(left, now) - countOtherTasks(right, now))[0];
 }
 
 function start(context: ReducerContext, {group, step}: Suspect, workers: readonly Worker[]): boolean {
@@ -143,6 +151,7 @@
 	}
 
 	group.isolation = {run: group.run, startedAt: context.now};
+	group.emptying = undefined;
 	context.scheduler.dirtyJobs.add(group.job);
 	const [task] = group.tasks;
 	context.effects.push({
--- a/packages/core/src/jobs/state/open-occurrences.ts
+++ b/packages/core/src/jobs/state/open-occurrences.ts
@@ -66,6 +66,7 @@
 		crashedRuns: new Set(),
 		suspected: false,
 		isolation: undefined,
+		emptying: undefined,
 		checkpoint: '',
 		done: false,
 		earliestStartAt: 0,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -167,6 +167,8 @@
 	suspected: boolean;
 	/** Its latest run in isolation. */
 	isolation: {readonly run: number; readonly startedAt: number} | undefined;
+	/** Worker that gets no other tasks so that the next run can be in isolation there, and the local time since which it gets none. */
+	emptying: {readonly worker: string; readonly since: number} | undefined;
 	checkpoint: string;
 	done: boolean;
 	earliestStartAt: number;
