Stop an ownership that ends while the schedule is read

Cause: a runner that was stopped after its last read began to tick and to follow workers and jobs for ever, although the ownership had ended; each such takeover left two watches and their processing behind. Change: the runner checks after the reads whether it was stopped. Measured: the new test of scheduler-runner.test.ts fails without the change and passes with it; the process of platform/owner-handover.test.ts ended only after its time-out before.

--- a/packages/daemon/src/jobs/scheduler-runner.test.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.test.ts
@@ -15,6 +15,7 @@
 import {SchedulerRunner} from './scheduler-runner.js';
 
 const workersPrefix = 'workers/';
+const waveStatusPrefix = 'status/';
 
 /** Longest wait for a call of the runner; normally it takes some tens of milliseconds. */
 const callTimeoutMs = 2000;
@@ -29,8 +30,8 @@
 	[jobsPrefix]: {entries: [{key: createJobKey('a', 'accepted'), value: JSON.stringify(job), modRevision: 1}], revision: 1},
 };
 
-/** Starts a runner with one worker and one job, in a process that is the owner all the while: at first by the grant of the runner, later by another one. */
-async function startRunner(calls: Partial<Store>) {
+/** Creates a runner with one worker and one job, in a process that is the owner all the while: at first by the grant of the runner, later by another one. */
+function createRunner(calls: Partial<Store>, options: {onListing?: (prefix: string) => void} = {}) {
 	const starts: StartOrder[] = [];
 	const stepDowns: string[] = [];
 	const store: Partial<Store> = {
@@ -42,7 +43,10 @@
 		store: {
 			...store,
 			...calls,
-			list: async (prefix: string) => prefix === createPayloadKey('a') && calls.list !== undefined ? calls.list(prefix) : store.list?.(prefix),
+			async list(prefix: string) {
+				options.onListing?.(prefix);
+				return prefix === createPayloadKey('a') && calls.list !== undefined ? calls.list(prefix) : store.list?.(prefix);
+			},
 		},
 		workers: {
 			async start(order: StartOrder) {
@@ -56,7 +60,7 @@
 			}),
 		},
 		instances: {list: async () => []},
-		operatorFormat: {waveStatusPrefix: 'status/', decodeCompletedWave: () => undefined},
+		operatorFormat: {waveStatusPrefix, decodeCompletedWave: () => undefined},
 		registrationFormat: {prefix: workersPrefix, decodeId: (key: string) => key.slice(workersPrefix.length), decode: () => listing},
 	} as unknown as Platform;
 	const state = {
@@ -75,10 +79,15 @@
 		} as unknown as OwnerElection,
 		grant: {term: 1, fencingToken: 1},
 	});
-	await runner.start();
 	return {runner, starts, stepDowns};
 }
 
+async function startRunner(calls: Partial<Store>) {
+	const created = createRunner(calls);
+	await created.runner.start();
+	return created;
+}
+
 /** A call that is answered later. */
 function createLateCall<Value>() {
 	const {promise: answered, resolve: answer} = createPromise<Value>();
@@ -125,6 +134,26 @@
 		assert.deepEqual(stepDowns, []);
 	});
 
+	it('guards against following the store for ever when the ownership ends while the schedule is read', async () => {
+		const watched: string[] = [];
+		const {runner} = createRunner({
+			watch(prefix) {
+				watched.push(prefix);
+				return () => undefined;
+			},
+		}, {
+			// The last part that is read, so that all parts are being read at the end of the ownership.
+			onListing(prefix) {
+				if (prefix === waveStatusPrefix) {
+					runner.stop();
+				}
+			},
+		});
+		await runner.start();
+		await delay(settlingMs);
+		assert.deepEqual(watched, []);
+	});
+
 	it('steps down after a refused write while the ownership lasts', async () => {
 		const write = createLateCall<TransactionResult>();
 		const {runner, stepDowns} = await startRunner({transact: write.call});
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -75,7 +75,8 @@
 		const startedAt = performance.now();
 		const configuration = await this.#waitForConfiguration();
 		const stored = await this.#load();
-		if (configuration === undefined || stored === undefined) {
+		// The ownership may have been lost while the schedule was read.
+		if (configuration === undefined || stored === undefined || this.#isStopped) {
 			return;
 		}
 
