Hand the schedule over to a larger instance

Change: an instance at least twice as large asks the owner to hand over (owner-handover key, event 608); the owner yields, and the claims that follow prefer large instances as before.

--- a/packages/daemon/src/jobs/compute-claim-delay.ts
+++ b/packages/daemon/src/jobs/compute-claim-delay.ts
@@ -1,9 +1,6 @@
+import {computeSizeFraction} from './compute-size-fraction.js';
 import {type ProcessSettings} from './process-settings.js';
 
-/** Processor time in cores, and link in Mbit/s, from which an instance claims a vacant ownership without delay. */
-const ampleCores = 1;
-const ampleLinkMegabitsPerSecond = 50;
-
 /** Longest delay of a claim; it exceeds the time that a claim of another process takes. */
 const longestDelayMs = 200;
 
@@ -24,8 +21,7 @@
  * @example
  * computeClaimDelay({cores: 0.3, linkMegabitsPerSecond: 20}, {uptimeMs: 60_000}); // 140
  */
-export function computeClaimDelay({cores, linkMegabitsPerSecond}: ProcessSettings['size'], options: {uptimeMs: number}): number {
-	const sizeFraction = Math.min(1, cores / ampleCores, linkMegabitsPerSecond / ampleLinkMegabitsPerSecond);
-	const delayMs = longestDelayMs * (1 - sizeFraction);
+export function computeClaimDelay(size: ProcessSettings['size'], options: {uptimeMs: number}): number {
+	const delayMs = longestDelayMs * (1 - computeSizeFraction(size));
 	return options.uptimeMs < startupMs ? delayMs * startupFactor : delayMs;
 }
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -22,6 +22,9 @@
 /** Identity of the process that owns the schedule; the entry is bound to the lease of that process. */
 export const ownerKey = `${root}owner`;
 
+/** Request to an owner on a small instance to hand the schedule over. It shares the prefix of the owner key, so that one watch covers both. */
+export const handoverKey = `${ownerKey}-handover`;
+
 /** Number of the latest term of ownership; unlike the owner key, it outlives the lease. */
 export const termKey = `${root}term`;
 
--- a/packages/daemon/src/jobs/owner-election.ts
+++ b/packages/daemon/src/jobs/owner-election.ts
@@ -4,8 +4,12 @@
 import {type Entry} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
 import {computeClaimDelay} from './compute-claim-delay.js';
+import {computeSizeFraction} from './compute-size-fraction.js';
 import {followPrefix} from './follow-prefix.js';
-import {ownerKey, termKey} from './keys.js';
+import {isHandoverWorthwhile} from './is-handover-worthwhile.js';
+import {handoverKey, ownerKey, termKey} from './keys.js';
+import {handoverRequestSchema, type OwnerRecord, ownerRecordSchema} from './owner-record.js';
+import {parseStoredValue} from './parse-stored-value.js';
 import {type ProcessSettings} from './process-settings.js';
 
 /** A shorter lease fails over sooner; a longer one survives process pauses and slow answers of the store. */
@@ -29,6 +33,12 @@
 /** Time without claims after the process has yielded the ownership, so that another process gets it. */
 const yieldPauseMs = 2000;
 
+/** Time for which a new owner on a smaller instance is left alone; all instances that restart together are up within some tenths of a second. */
+const handoverDelayMs = 300;
+
+/** Longest random addition to this time; the first request is in the store before most others are sent. */
+const handoverJitterMs = 300;
+
 /** A won election. The owner is the one process, elected by a lease, that runs the scheduler. */
 export type OwnershipGrant = {
 	/** Consecutive number of the ownership, from which run numbers are derived. */
@@ -67,6 +77,12 @@
 	 * is made before it; false after this process has lost the ownership, until the store names an owner.
 	 */
 	#isOwnerAssumed = true;
+	/** Local time of the last loss of the ownership. */
+	#lostAt = Number.NEGATIVE_INFINITY;
+	/** The owner as the store names it. */
+	#owner: Entry | undefined;
+	/** Store revision of the last request to hand the schedule over; 0 before the first. */
+	#handoverRevision = 0;
 	/** Wall clock minus monotonic clock, in milliseconds; grows when the system was suspended, not when only the process was paused. */
 	#clockOffset = Date.now() - performance.now();
 
@@ -102,11 +118,15 @@
 		this.#stopFollowing = followPrefix(this.#store, ownerKey, {
 			onListing: ({entries}) => {
 				this.#observeOwner(entries.find(({key}) => key === ownerKey));
+				this.#observeHandover(entries.find(({key}) => key === handoverKey));
 			},
 			onChanges: changes => {
 				for (const {key, value, modRevision} of changes) {
+					const entry = value === undefined ? undefined : {key, value, modRevision};
 					if (key === ownerKey) {
-						this.#observeOwner(value === undefined ? undefined : {key, value, modRevision});
+						this.#observeOwner(entry);
+					} else if (key === handoverKey) {
+						this.#observeHandover(entry);
 					}
 				}
 			},
@@ -157,15 +177,57 @@
 
 	#observeOwner(owner: Entry | undefined): void {
 		this.#isOwnerAssumed = owner !== undefined;
+		this.#owner = owner;
 		if (owner === undefined) {
 			this.#scheduleFirstClaim();
-		} else if (this.#grant !== undefined && owner.value !== this.#encodeOwner() && owner.modRevision > this.#grant.fencingToken) {
+			return;
+		}
+
+		if (this.#grant !== undefined && owner.value !== this.#encodeOwner() && owner.modRevision > this.#grant.fencingToken) {
 			this.#loseOwnership('Another process owns the schedule');
 		}
+
+		if (this.#isHandoverWorthwhile(owner)) {
+			setTimeout(() => {
+				void this.#requestHandover(owner);
+			}, handoverDelayMs + (Math.random() * handoverJitterMs));
+		}
+	}
+
+	#isHandoverWorthwhile(owner: Entry): boolean {
+		const record = parseStoredValue(ownerRecordSchema, owner.value);
+		return record !== undefined && this.#grant === undefined && !this.#isStopped && !this.#isYielding
+			&& isHandoverWorthwhile({own: computeSizeFraction(this.#size), owner: record.sizeFraction}, {sinceLossMs: performance.now() - this.#lostAt});
+	}
+
+	/** Asks the owner to hand the schedule over, unless it has been asked or replaced meanwhile. */
+	async #requestHandover(owner: Entry): Promise<void> {
+		if (this.#owner?.modRevision !== owner.modRevision || this.#handoverRevision > owner.modRevision || !this.#isHandoverWorthwhile(owner)) {
+			return;
+		}
+
+		const value = JSON.stringify({instance: this.#name, fencingToken: owner.modRevision});
+		// A failed comparison or call is not repeated: another instance has asked, or the store does not serve this one well.
+		const requested = await this.#store.transact({
+			compare: [{key: ownerKey, modRevision: owner.modRevision}, {key: handoverKey, modRevision: this.#handoverRevision}],
+			success: [{type: 'put', key: handoverKey, value}],
+			failure: [],
+		});
+		const outcome = requested.ok ? (requested.value.succeeded ? 'requested' : 'superseded') : requested.reason;
+		this.#logger.log('handover-requested', {owner: owner.value, fence: owner.modRevision, outcome});
+	}
+
+	#observeHandover(entry: Entry | undefined): void {
+		this.#handoverRevision = entry?.modRevision ?? 0;
+		const request = entry === undefined ? undefined : parseStoredValue(handoverRequestSchema, entry.value);
+		if (request !== undefined && request.fencingToken === this.#grant?.fencingToken) {
+			void this.yield(`Handed over to a larger instance: ${request.instance}`);
+		}
 	}
 
 	#encodeOwner(): string {
-		return JSON.stringify({instance: this.#name, nonce: this.#nonce});
+		const record: OwnerRecord = {instance: this.#name, nonce: this.#nonce, sizeFraction: computeSizeFraction(this.#size)};
+		return JSON.stringify(record);
 	}
 
 	#scheduleFirstClaim(): void {
@@ -299,6 +361,7 @@
 		this.#leaseId = undefined;
 		this.#leaseValidUntil = 0;
 		this.#isOwnerAssumed = false;
+		this.#lostAt = performance.now();
 		this.#listener.onLost(reason);
 	}
 }
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -132,6 +132,9 @@
 	'schedule-load-failed': {
 		number: 635, level: 'warn', text: 'A part of the schedule could not be read at a takeover; it is read again', action: 'Check the store and the network of the instance.',
 	},
+	'handover-requested': {
+		number: 608, level: 'info', text: 'This process has asked the owner of the schedule, which runs on a much smaller instance, to hand it over', action: 'None.',
+	},
 	'owner-resignation-failed': {
 		number: 603, level: 'warn', text: 'The lease of the schedule ownership could not be revoked and expires on its own', action: 'None.',
 	},
