Measure and publish the admission of overloaded queues

Cause: submission never refuses for load, so jobs that are of no use when they are done occupy capacity.

Change: the owner measures once per second, with the summary of the queues and from the outlooks that the order of jobs has measured already, and writes the record in the transaction of the summary. The key is never deleted; an empty record is written once. The summary is published after placement, because free workers show only then.

No additional calls to the store, but one read at a takeover.

The fleet model starts with an empty record.

--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -20,6 +20,8 @@
 	longestLeaseMs?: number;
 	/** What the former owner has learned, as stored. */
 	estimates?: string | undefined;
+	/** The stored admission record is empty. */
+	isAdmissionEmpty?: boolean;
 	/** Longest time that a worker may take to stop a task. */
 	stopMs?: number;
 	/** How long before its due time an occurrence may start. */
@@ -35,7 +37,7 @@
  * createScheduler({term: 1, now: 0, configuration});
  */
 export function createScheduler(options: Options): Scheduler {
-	const {term, now, configuration, holders = [], leaseMs = taskLeaseMs, longestLeaseMs = longestTaskLeaseMs, stopMs = 1000, earlyMs = 250} = options;
+	const {term, now, configuration, holders = [], leaseMs = taskLeaseMs, longestLeaseMs = longestTaskLeaseMs, stopMs = 1000, earlyMs = 250, isAdmissionEmpty = false} = options;
 	const scheduler: Scheduler = {
 		term,
 		tookOverAt: now,
@@ -69,6 +71,7 @@
 		commitDueAt: 0,
 		summaryDueAt: 0,
 		summary: '',
+		admission: {isPending: false, isStoredEmpty: isAdmissionEmpty},
 		instances: new Map(),
 		instanceListDueAt: now,
 		instanceListPending: false,
--- a/packages/core/src/jobs/state/effect.ts
+++ b/packages/core/src/jobs/state/effect.ts
@@ -1,3 +1,4 @@
+import {type AdmissionRecord} from '../admission/admission-record.js';
 import {type EndedJob, type Progress} from './job-schema.js';
 import {type LeaseHolder} from './scheduler.js';
 
@@ -18,7 +19,8 @@
 	| {readonly type: 'report'; readonly worker: string; readonly address: string; readonly leaseUntilMs: number | undefined; readonly storedEnd: number; readonly waitMs: number}
 	| {readonly type: 'limit-speed'; readonly worker: string; readonly address: string; readonly task: string; readonly run: number; readonly percent: number}
 	| {readonly type: 'commit'; readonly number: number; readonly writes: readonly StoreWrite[]}
-	| {readonly type: 'publish-summary'; readonly queues: Readonly<Record<string, QueueSummary>>}
+	/** `admission`: the admission record that is to be written with the summary; undefined if the stored one stays as it is. */
+	| {readonly type: 'publish-summary'; readonly queues: Readonly<Record<string, QueueSummary>>; readonly admission: AdmissionRecord | undefined}
 	| {readonly type: 'publish-wave'; readonly wave: number; readonly state: 'running' | 'completed'}
 	| {readonly type: 'ask-tickets'; readonly job: string; readonly occurrence: number; readonly step: number; readonly workers: readonly string[]}
 	| {readonly type: 'list-instances'}
--- a/packages/core/src/jobs/state/event.ts
+++ b/packages/core/src/jobs/state/event.ts
@@ -79,6 +79,8 @@
 	| {readonly type: 'upkeep-answered'; readonly wave: number; readonly instance: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered'}
 	/** The outcomes are those of `upkeep-answered`. */
 	| {readonly type: 'move-answered'; readonly instance: string; readonly pool: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered'}
+	/** The admission record that came with a summary is stored, or may not be. */
+	| {readonly type: 'admission-published'; readonly isEmpty: boolean; readonly stored: boolean}
 	| {readonly type: 'wave-published'; readonly wave: number; readonly state: 'running' | 'completed'; readonly stored: boolean};
 
 /** Monotonic local time and wall-clock time at which an event is handled, both in milliseconds. */
--- a/packages/core/src/jobs/state/publish-summary.ts
+++ b/packages/core/src/jobs/state/publish-summary.ts
@@ -1,10 +1,11 @@
+import {updateAdmission} from '../admission/update-admission.js';
 import {logPoolLoads} from '../pools/log-pool-loads.js';
 import {summaryIntervalMs} from './constants.js';
 import {type QueueSummary} from './effect.js';
 import {type ReducerContext} from './reducer-context.js';
 
 /**
- * Publishes the number of jobs of each queue that have not started, at intervals.
+ * Publishes the number of jobs of each queue that have not started, at intervals, and the admission record if it changes.
  *
  * @param context - the reducer context; its state is changed and an effect may be added
  * @example
@@ -24,6 +25,6 @@
 		}
 	}
 
-	context.effects.push({type: 'publish-summary', queues});
+	context.effects.push({type: 'publish-summary', queues, admission: updateAdmission(context)});
 	logPoolLoads(context);
 }
--- a/packages/core/src/jobs/state/reduce-scheduler.ts
+++ b/packages/core/src/jobs/state/reduce-scheduler.ts
@@ -54,6 +54,8 @@
 
 		placeReadyTasks(context);
 		if (isHousekeepingDue) {
+			// What is free shows once the waiting tasks are placed.
+			publishSummary(context);
 			startDuplicates(context);
 		}
 
@@ -174,6 +176,10 @@
 	'move-answered'(context, event) {
 		handleMoveAnswer(context, event);
 	},
+	'admission-published'({scheduler: {admission}}, {isEmpty, stored}) {
+		admission.isPending = false;
+		admission.isStoredEmpty = isEmpty && stored;
+	},
 	'wave-published'({scheduler}, {wave, state, stored}) {
 		const known = scheduler.waves.get(wave);
 		if (known?.published === state && !stored) {
@@ -209,7 +215,6 @@
 
 	advanceWaves(context);
 	planMoves(context);
-	publishSummary(context);
 }
 
 /**
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -312,6 +312,12 @@
 	summaryDueAt: number;
 	/** Not used. */
 	summary: string;
+	readonly admission: {
+		/** The last write of the admission record is not answered yet. */
+		isPending: boolean;
+		/** The stored record is certainly empty. */
+		isStoredEmpty: boolean;
+	};
 	readonly instances: Map<string, ListedInstance>;
 	instanceListDueAt: number;
 	instanceListPending: boolean;
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -37,6 +37,9 @@
 /** Number of jobs that have not begun, by queue; published by the owner at intervals. */
 export const summaryKey = `${root}summary`;
 
+/** Admission record: the overloaded queues and the waits of new jobs. It is never deleted, so that its revision never takes the same value twice. */
+export const admissionKey = `${root}admission`;
+
 /** Prefix of the lists of instances whose maintenance is finished, one for each wave; the waves themselves are stored by the operators. */
 export const wavesPrefix = `${root}waves/`;
 
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -1,4 +1,5 @@
 import {performance} from 'node:perf_hooks';
+import {type AdmissionRecord} from '@rosemaryquay/core/jobs/admission/admission-record';
 import {type SchedulerEffect, type StoreWrite} from '@rosemaryquay/core/jobs/state/effect';
 import {type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
 import {type Operation} from '@rosemaryquay/core/store/transaction';
@@ -9,7 +10,7 @@
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
 import {
-	holdersKey, commitGuardKey, estimatesKey, jobParts, ownerKey, summaryKey, wavesPrefix,
+	admissionKey, holdersKey, commitGuardKey, estimatesKey, jobParts, ownerKey, summaryKey, wavesPrefix,
 } from './keys.js';
 import {type OwnershipGrant} from './owner-election.js';
 import {type PayloadCache} from './payload-cache.js';
@@ -95,9 +96,18 @@
 		finishEndedJobs(writes, context);
 		context.dispatch({type: 'committed', number});
 	},
-	async 'publish-summary'({queues}, context) {
-		const value = JSON.stringify({publishedAtMs: Date.now(), queues});
-		await writeAsOwner([{type: 'put', key: summaryKey, value}], context);
+	async 'publish-summary'({queues, admission}, context) {
+		const operations: Operation[] = [{type: 'put', key: summaryKey, value: JSON.stringify({publishedAtMs: Date.now(), queues})}];
+		if (admission !== undefined) {
+			operations.push({type: 'put', key: admissionKey, value: JSON.stringify({...admission, fence: context.grant.fencingToken})});
+		}
+
+		const stored = await writeAsOwner(operations, context);
+		if (admission !== undefined) {
+			const isEmpty = admission.queues.length === 0;
+			context.logger.log('admission-published', {queues: admission.queues.map(({name}) => name), organisations: countOrganisations(admission), stored});
+			context.dispatch({type: 'admission-published', isEmpty, stored});
+		}
 	},
 	async 'publish-wave'({wave, state}, context) {
 		const stored = await writeAsOwner([context.platform.operatorFormat.encodeWaveStatus(wave, state)], context);
@@ -178,6 +188,15 @@
 	return false;
 }
 
+function countOrganisations({queues}: AdmissionRecord): number {
+	let count = 0;
+	for (const {organisations} of queues) {
+		count += organisations.length;
+	}
+
+	return count;
+}
+
 /** Writes on condition that this process still owns the schedule, without the commit guard. */
 async function writeAsOwner(operations: readonly Operation[], context: EffectContext): Promise<boolean> {
 	const {platform, grant, stepDown, logger} = context;
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -4,6 +4,7 @@
 import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
 import {type SchedulerEffect} from '@rosemaryquay/core/jobs/state/effect';
 import {type EventTime, type SchedulerEvent} from '@rosemaryquay/core/jobs/state/event';
+import {admissionRecordSchema} from '@rosemaryquay/core/jobs/admission/admission-record';
 import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
 import {taskLeaseMs} from '@rosemaryquay/core/jobs/state/constants';
 import {isStartPending} from '@rosemaryquay/core/jobs/runs/is-start-pending';
@@ -14,7 +15,7 @@
 import {decodeUnfinishedJobs} from './decode-unfinished-jobs.js';
 import {followPrefix} from './follow-prefix.js';
 import {
-	estimatesKey, holdersKey, jobChangesPrefix, jobsPrefix, progressPrefix, wavesPrefix,
+	admissionKey, estimatesKey, holdersKey, jobChangesPrefix, jobsPrefix, progressPrefix, wavesPrefix,
 } from './keys.js';
 import {type OperatorStateCache} from './operator-state-cache.js';
 import {type OwnershipGrant, type OwnerElection} from './owner-election.js';
@@ -23,6 +24,7 @@
 import {parseJobKey} from './parse-job-key.js';
 import {parseMaintainedInstances} from './parse-maintained-instances.js';
 import {parsePayloadKey} from './parse-payload-key.js';
+import {parseStoredValue} from './parse-stored-value.js';
 import {PayloadCache} from './payload-cache.js';
 import {performSchedulerEffect} from './perform-scheduler-effect.js';
 import {type Platform} from './ports.js';
@@ -43,6 +45,9 @@
 /** Largest run lease, as a fraction of the longest lease that workers accept. */
 const usableLeaseFraction = 0.8;
 
+/** What a new owner reads of the former one that it can do without. */
+type Hints = {readonly estimates: string | undefined; readonly isAdmissionEmpty: boolean};
+
 type Options = {
 	readonly settings: ProcessSettings;
 	readonly platform: Platform;
@@ -191,14 +196,14 @@
 		}
 	}
 
-	#createScheduler(configuration: Configuration, {holders, estimates}: {holders: readonly LeaseHolder[]; estimates: string | undefined}): Scheduler {
+	#createScheduler(configuration: Configuration, {holders, hints}: {holders: readonly LeaseHolder[]; hints: Hints}): Scheduler {
 		const {bounds} = this.#options.settings;
 		return createScheduler({
 			term: this.#options.grant.term,
 			now: performance.now(),
 			configuration,
 			holders,
-			estimates,
+			...hints,
 			leaseMs: Math.min(taskLeaseMs, bounds.longestLeaseMs * usableLeaseFraction),
 			longestLeaseMs: bounds.longestLeaseMs,
 			stopMs: bounds.stopMs,
@@ -222,7 +227,7 @@
 	/** Reads the schedule from the store. Resolves to undefined when the process stops or gives up the ownership. */
 	async #load() {
 		const {platform} = this.#options;
-		const loadingEstimates = this.#loadEstimates();
+		const loadingHints = this.#loadHints();
 		const [jobs, progress, holders, maintained, statuses] = await Promise.all([jobsPrefix, progressPrefix, holdersKey, wavesPrefix, platform.operatorFormat.waveStatusPrefix].map(async prefix => this.#loadPart(prefix)));
 		if (jobs === undefined || progress === undefined || holders === undefined || maintained === undefined || statuses === undefined) {
 			return undefined;
@@ -232,17 +237,21 @@
 		return {
 			jobs: decodeUnfinishedJobs([...jobs.entries, ...progress.entries]),
 			revision: jobs.revision,
-			estimates: await loadingEstimates,
+			hints: await loadingHints,
 			holders: parseHolders(holders.entries.find(({key}) => key === holdersKey)?.value),
 			maintainedInstances: parseMaintainedInstances(maintained.entries),
 			completedWaves: new Set(completed),
 		};
 	}
 
-	/** Reads what the former owner has learned, once: a takeover does not depend on it. */
-	async #loadEstimates(): Promise<string | undefined> {
-		const listing = await this.#options.platform.store.list(estimatesKey);
-		return listing.ok ? listing.value.entries.find(({key}) => key === estimatesKey)?.value : undefined;
+	/** Reads what the former owner has learned, and whether its admission record is empty, once: a takeover does not depend on them. */
+	async #loadHints(): Promise<Hints> {
+		const [estimates, admission] = await Promise.all([estimatesKey, admissionKey].map(async key => {
+			const listing = await this.#options.platform.store.list(key);
+			return listing.ok ? listing.value.entries.find(entry => entry.key === key) : undefined;
+		}));
+		const record = admission === undefined ? undefined : parseStoredValue(admissionRecordSchema, admission.value);
+		return {estimates: estimates?.value, isAdmissionEmpty: record?.queues.length === 0};
 	}
 
 	async #loadPart(prefix: string): Promise<Listing | undefined> {
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -240,6 +240,9 @@
 	'order-decided': {
 		number: 645, level: 'info', text: 'Organisations compete for the services named; usage, waiting work and share of each, once a second at most, in thousandths of a core', action: 'Look here for why jobs of an organisation wait: those beyond its share are placed after those of the others.',
 	},
+	'admission-published': {
+		number: 646, level: 'info', text: 'The admission record was published: overloaded queues and the number of organisations whose new jobs wait too long to be of use; at most once a second', action: 'Look at event 636 for the load of the pools.',
+	},
 	'wave-requested': {
 		number: 630, level: 'info', text: 'The operators requested a maintenance wave', action: 'None.',
 	},
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -1,6 +1,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type AdmissionRecord} from '@rosemaryquay/core/jobs/admission/admission-record';
 import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
 import {createScheduler} from '@rosemaryquay/core/jobs/state/create-scheduler';
 import {type SchedulerEffect} from '@rosemaryquay/core/jobs/state/effect';
@@ -45,6 +46,9 @@
 	orderTransmissionMs = 0;
 	/** Wall clock of the owner minus the true time, in milliseconds. */
 	wallClockOffsetMs = 0;
+	/** Admission record in the store, and the number of its writes. */
+	admissionRecord: AdmissionRecord = {publishedAtMs: 0, term: 0, queues: []};
+	admissionWrites = 0;
 	owner: ModelledOwner | undefined;
 	#configuration: Configuration;
 	readonly #store = new StoredSchedule();
@@ -108,7 +112,18 @@
 				});
 			});
 		},
-		'publish-summary': () => undefined,
+		'publish-summary': ({admission}, owner) => {
+			if (admission !== undefined) {
+				this.admissionWrites++;
+				this.#network.deliver(() => {
+					const stored = owner.fence === this.#fence;
+					this.admissionRecord = stored ? admission : this.admissionRecord;
+					this.#network.deliver(() => {
+						this.dispatch({type: 'admission-published', isEmpty: admission.queues.length === 0, stored}, owner);
+					});
+				});
+			}
+		},
 		'publish-wave': ({wave, state}, owner) => {
 			this.waveStates.set(wave, state);
 			const request = state === 'completed' ? this.#waves.find(({number}) => number === wave) : undefined;
@@ -294,7 +309,7 @@
 		this.#fence++;
 		// The scheduler allows 400 ms for a stop; the modelled workers stop a task within 200 ms.
 		const scheduler = createScheduler({
-			term: this.#fence, now: this.now, configuration: this.#configuration, holders: this.#store.holders, estimates: this.#store.estimates, stopMs: 400,
+			term: this.#fence, now: this.now, configuration: this.#configuration, holders: this.#store.holders, estimates: this.#store.estimates, isAdmissionEmpty: this.admissionRecord.queues.length === 0, stopMs: 400,
 		});
 		this.owner = {
 			fence: this.#fence, scheduler, isAlive: true, pausedUntil: 0,
