Refuse submissions by the admission record in force

Cause: a refusal has to be true although an earlier attempt of the same job may be carried out late.

Change: the accepting transaction compares the revision of the admission record, one row. The decision depends on the record and the job alone, so an attempt that the store carries out late was sent under another record and fails. A submission whose caller has gone is not decided by a further record.

--- a/packages/daemon/src/jobs/job-api-server.ts
+++ b/packages/daemon/src/jobs/job-api-server.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {type Refusal, type RefusalReason} from '@rosemaryquay/core/jobs/admission/decide-admission';
 import {type Queue} from '@rosemaryquay/core/jobs/state/configuration-schema';
 import {type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Logger} from '../create-logger.js';
@@ -15,6 +16,7 @@
 import {type Platform, type Submission} from './ports.js';
 import {type ProcessMetrics} from './process-metrics.js';
 import {type ProcessSettings} from './process-settings.js';
+import {ReturnSchedule} from './return-schedule.js';
 
 /** Deadline of a request that names none. */
 const defaultDeadlineMs = 3000;
@@ -50,7 +52,16 @@
 	readonly deadlineAt: number;
 };
 
-type Reply = {readonly status: number; readonly body?: string; readonly reason?: string; readonly retryAfterSeconds?: number};
+type Reply = {
+	readonly status: number;
+	readonly body?: string;
+	readonly reason?: string;
+	readonly retryAfterSeconds?: number;
+	/** Wait in milliseconds for which the job is refused. */
+	readonly waitMs?: number;
+};
+
+const refusalStatuses: Readonly<Record<RefusalReason, number>> = {'over-share': 429, 'no-room': 503};
 
 type Options = {
 	readonly settings: ProcessSettings;
@@ -65,6 +76,7 @@
 export class JobApiServer {
 	readonly #options: Options;
 	readonly #server: Server;
+	readonly #returns = new ReturnSchedule();
 	#bounds: ProcessSettings['bounds'];
 	#openRequests = 0;
 	#isStopping = false;
@@ -128,11 +140,11 @@
 
 	#sendReply(request: IncomingMessage, response: ServerResponse, reply: Reply): void {
 		const {platform, logger} = this.#options;
-		const {status, reason, retryAfterSeconds} = reply;
+		const {status, reason, retryAfterSeconds, waitMs} = reply;
 		const body = reply.body ?? (reason === undefined ? '{}' : platform.callerFormat.encodeProblem(reason));
 		if (reason !== undefined) {
 			logger.log('call-refused', {
-				request: request.headers['request-id'], method: request.method, path: request.url, status, reason, configurationAgeMs: Math.round(this.#options.operatorCache.ageMs),
+				request: request.headers['request-id'], method: request.method, path: request.url, status, reason, configurationAgeMs: Math.round(this.#options.operatorCache.ageMs), waitMs, retryAfterSeconds,
 			});
 		}
 
@@ -226,7 +238,7 @@
 		for (let attempt = 0; attempt < acceptanceAttempts; attempt++) {
 			const {revision} = operatorCache.state;
 			const accepted = await jobs.accept(createJob(decoded.submission, {id: authorized.id, queue, organisation}), {
-				payload: decoded.submission.payload, condition: platform.operatorFormat.createConfigurationCondition(revision), deadlineAt: authorized.deadlineAt,
+				payload: decoded.submission.payload, condition: platform.operatorFormat.createConfigurationCondition(revision), deadlineAt: authorized.deadlineAt, isAbandoned: () => hasClosedConnection(authorized.request),
 			});
 			if (accepted.type === 'accepted') {
 				logger.log('job-accepted', {
@@ -235,6 +247,10 @@
 				return {status: 200};
 			}
 
+			if (accepted.type === 'refused') {
+				return this.#refuseForLoad(queue.name, accepted.refusal);
+			}
+
 			if (accepted.type === 'unknown') {
 				return {status: 504, reason: `outcome-unknown: ${accepted.detail}`};
 			}
@@ -258,6 +274,15 @@
 		return unavailable('configuration-keeps-changing');
 	}
 
+	#refuseForLoad(queue: string, {reason, waitMs, roomInMs, serviceMs}: Refusal): Reply {
+		const retryAfterSeconds = this.#returns.add({
+			queue, roomInMs, serviceMs, now: performance.now(),
+		});
+		return {
+			status: refusalStatuses[reason], reason, retryAfterSeconds, waitMs,
+		};
+	}
+
 	/** Authorises a request again after the configuration changed between the first authorisation and the write. */
 	#reauthorize(authorized: AuthorizedRequest): Reply | {queue: Queue; organisation: string} {
 		const {operatorCache, platform} = this.#options;
@@ -310,6 +335,10 @@
 	}
 }
 
+function hasClosedConnection({socket}: IncomingMessage): boolean {
+	return socket.destroyed || socket.readableEnded;
+}
+
 function unavailable(reason: string): Reply {
 	return {status: 503, reason, retryAfterSeconds: retryAfterBaseSeconds + Math.round(Math.random() * retryAfterJitterSeconds)};
 }
--- a/packages/daemon/src/jobs/job-store.ts
+++ b/packages/daemon/src/jobs/job-store.ts
@@ -2,16 +2,20 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {LRUCache} from 'lru-cache';
 import {z} from 'zod';
+import {type Refusal} from '@rosemaryquay/core/jobs/admission/decide-admission';
 import {type EndedJob, type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type Store} from '@rosemaryquay/core/store/store';
 import {type Comparison, type Entry} from '@rosemaryquay/core/store/transaction';
+import {AdmissionGate} from './admission-gate.js';
 import {createEndedJobKey} from './create-ended-job-key.js';
 import {createJobKey} from './create-job-key.js';
 import {createJobPrefix} from './create-job-prefix.js';
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
 import {encodeJob} from './encode-job.js';
-import {jobsPrefix, summaryKey} from './keys.js';
+import {
+	admissionKey, jobsPrefix, ownerKey, summaryKey,
+} from './keys.js';
 import {parseEndedJob} from './parse-ended-job.js';
 import {parseJob} from './parse-job.js';
 import {parseJobKey} from './parse-job-key.js';
@@ -39,11 +43,20 @@
 	| {readonly type: 'accepted'}
 	/** The configuration that authorised the request is no longer in force; `entry` contains the current one. */
 	| {readonly type: 'configuration-changed'; readonly entry: Entry | undefined}
+	/** The job is not stored, and no attempt of this submission will store it. */
+	| {readonly type: 'refused'; readonly refusal: Refusal}
 	/** The job is definitely not stored. */
 	| {readonly type: 'unavailable'; readonly detail: string}
 	/** The job may have been stored, or may still be stored later. */
 	| {readonly type: 'unknown'; readonly detail: string};
 
+type AcceptOptions = {
+	readonly payload: string;
+	readonly condition: Comparison;
+	readonly deadlineAt: number;
+	readonly isAbandoned?: () => boolean;
+};
+
 /** The state of a stored job; `acceptedRevision` is the store revision of its part `accepted`, 0 once the job has ended. */
 export type FoundJob = {readonly organisation: string; readonly queue: string; readonly state: JobState; readonly acceptedRevision: number};
 
@@ -52,6 +65,7 @@
 /** Reads and writes stored jobs on behalf of callers. */
 export class JobStore {
 	readonly #store: Store;
+	readonly #admission = new AdmissionGate();
 	#lastSucceededAt = Number.NEGATIVE_INFINITY;
 	#lastProbedAt = Number.NEGATIVE_INFINITY;
 	readonly #endedJobs = new LRUCache<string, FoundJob>({max: endedJobCacheSize});
@@ -66,35 +80,58 @@
 	}
 
 	/**
-	 * Stores a job, provided that the configuration that authorised it is still in force. Idempotent: a job that is
-	 * stored already is accepted again.
+	 * Stores a job, provided that the configuration that authorised it is still in force and that the admission record
+	 * admits it. Idempotent: a job that is stored already is accepted again.
+	 *
+	 * The comparison of the record's revision makes every attempt fail that was sent under another record, whenever the
+	 * store carries it out. A job is refused only by an answer in which the record is in force and the job is not stored.
 	 *
 	 * @param job - the job
-	 * @param options - payload of the job, condition on the configuration, and the local monotonic time in milliseconds after which no further attempt is made
+	 * @param options - payload of the job, condition on the configuration, the local monotonic time in milliseconds after which no further attempt is made, and whether the caller has given up, after which the job is not decided by another record
 	 * @returns whether the job is stored; never rejects
 	 */
-	async accept(job: Job, options: {payload: string; condition: Comparison; deadlineAt: number}): Promise<Acceptance> {
-		const {payload, condition, deadlineAt} = options;
+	async accept(job: Job, options: AcceptOptions): Promise<Acceptance> {
+		const {payload, condition, deadlineAt, isAbandoned = () => false} = options;
 		const key = createJobKey(job.id, 'accepted');
 		const endedKey = createEndedJobKey(job.id);
 		const value = encodeJob(job);
+		const reads = [condition.key, key, endedKey, admissionKey, ownerKey].map(readKey => ({type: 'get' as const, key: readKey}));
+		let {revision} = this.#admission;
+		let isAdmitted = this.#admission.decide(job, performance.now()).type === 'admit';
 		let isUnknown = false;
 		for (;;) {
-			const outcome = await this.#call(this.#store.transact({
-				compare: [condition, {key, modRevision: 0}, {key: endedKey, modRevision: 0}],
-				success: [{type: 'put', key, value}, {type: 'put', key: createPayloadKey(job.id), value: payload}],
-				failure: [{type: 'get', key: condition.key}, {type: 'get', key}, {type: 'get', key: endedKey}],
-			}));
-			if (outcome.ok && outcome.value.succeeded) {
+			const outcome = await this.#call(this.#store.transact(isAdmitted
+				? {
+					compare: [condition, {key, modRevision: 0}, {key: endedKey, modRevision: 0}, {key: admissionKey, modRevision: revision}],
+					success: [{type: 'put', key, value}, {type: 'put', key: createPayloadKey(job.id), value: payload}],
+					failure: reads,
+				}
+				: {compare: [], success: reads, failure: []}));
+			if (outcome.ok && outcome.value.succeeded && isAdmitted) {
 				return {type: 'accepted'};
 			}
 
 			if (outcome.ok) {
-				const [configuration, stored, ended] = outcome.value.entries;
-				return stored === undefined && ended === undefined ? this.#toAcceptance(isUnknown, configuration) : {type: 'accepted'};
+				const acceptance = this.#judgeAnswer(job, outcome.value.entries, {
+					condition, revision, isAdmitted, isUnknown,
+				});
+				if (acceptance !== undefined) {
+					return acceptance;
+				}
+
+				const isChanged = this.#admission.revision !== revision;
+				// The attempts so far were under the former record, so the store doesn't carry them out any more.
+				isUnknown &&= !isChanged;
+				if (performance.now() > deadlineAt || (isChanged && isAbandoned())) {
+					return {type: isUnknown ? 'unknown' : 'unavailable', detail: 'The admission record keeps changing'};
+				}
+
+				({revision} = this.#admission);
+				isAdmitted = true;
+				continue;
 			}
 
-			isUnknown ||= outcome.reason !== 'unavailable';
+			isUnknown ||= isAdmitted && outcome.reason !== 'unavailable';
 			const detail = outcome.detail ?? outcome.reason;
 			if (performance.now() + retryDelayMs + lastAttemptReserveMs > deadlineAt) {
 				return {type: isUnknown ? 'unknown' : 'unavailable', detail};
@@ -176,6 +213,25 @@
 		}
 	}
 
+	/** Judges a submission by an answer in which it was not stored; undefined if it is to be stored under the record in the answer. */
+	#judgeAnswer(job: Job, entries: ReadonlyArray<Entry | undefined>, attempt: {condition: Comparison; revision: number; isAdmitted: boolean; isUnknown: boolean}): Acceptance | undefined {
+		const [configuration, stored, ended, admission, owner] = entries;
+		const now = performance.now();
+		this.#admission.adopt(admission, owner, {now, timeOfDay: Date.now()});
+		if (stored !== undefined || ended !== undefined) {
+			return {type: 'accepted'};
+		}
+
+		if (!isMet(attempt.condition, configuration)) {
+			return this.#toAcceptance(attempt.isUnknown, configuration);
+		}
+
+		const decision = this.#admission.decide(job, now);
+		// A submission that this record has admitted once is not refused by it.
+		const isDecided = attempt.isAdmitted && this.#admission.revision === attempt.revision;
+		return decision.type === 'refuse' && !isDecided ? {type: 'refused', refusal: decision} : undefined;
+	}
+
 	/** Tells whether any task of a job has ended; undefined when the store did not answer. */
 	async #hasProgress(id: string): Promise<boolean | undefined> {
 		const key = createProgressKey(id);
@@ -216,6 +272,10 @@
 	}
 }
 
+function isMet({modRevision, value}: Comparison, entry: Entry | undefined): boolean {
+	return (entry?.modRevision ?? 0) === modRevision && (value === undefined || entry?.value === value);
+}
+
 function decodeFoundJob(entries: readonly Entry[]): FoundJob | undefined {
 	const parts = new Map(entries.map(entry => [parseJobKey(entry.key)?.part, entry]));
 	const accepted = parts.get('accepted');
