--- a/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
@@ -8,7 +8,7 @@
 import {createLogger} from '../create-logger.js';
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
-import {ownerKey} from './keys.js';
+import {admissionKey, ownerKey, summaryKey} from './keys.js';
 import {type EffectContext, performSchedulerEffect} from './perform-scheduler-effect.js';
 import {PayloadCache} from './payload-cache.js';
 import {type Platform, type WorkerCalls} from './ports.js';
@@ -68,7 +68,7 @@
 
 	const readProgress = (): unknown => JSON.parse(model.entries.get(createProgressKey('a'))?.value ?? 'null');
 	return {
-		context, state, events, commit, executeDelayed, readProgress,
+		context, model, state, events, commit, executeDelayed, readProgress,
 	};
 }
 
@@ -97,6 +97,32 @@
 	});
 });
 
+describe('publication of the admission record', () => {
+	const admission = {publishedAtMs: 1, term: 1, queues: []};
+
+	it('guards against a call of its own, and names the owner in the record', async () => {
+		const {context, model, events} = createContext();
+		const {revision} = model;
+		performSchedulerEffect({type: 'publish-summary', queues: {}, admission}, context);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		assert.deepEqual(JSON.parse(model.entries.get(admissionKey)?.value ?? ''), {...admission, fence: context.grant.fencingToken});
+		assert.equal(model.entries.get(summaryKey)?.modRevision, revision + 1);
+		assert.deepEqual(events, [{type: 'admission-published', isEmpty: true, stored: true}]);
+	});
+
+	it('guards against a record that counts as stored although the answer was lost', async () => {
+		const {context, state, events} = createContext();
+		state.isDelaying = true;
+		performSchedulerEffect({type: 'publish-summary', queues: {}, admission}, context);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		assert.deepEqual(events, [{type: 'admission-published', isEmpty: true, stored: false}]);
+	});
+});
+
 describe('orders that wait for a payload', () => {
 	for (const {isReleased, outcome} of [{isReleased: true, outcome: 'withheld'}, {isReleased: false, outcome: 'accepted'}]) {
 		it(`guards against starting a run that was released while its payload was read: ${isReleased ? 'released' : 'pending'}`, async () => {
