Bound the return that one refused job postpones

Cause: a refusal moved the next return of its queue back by the estimated time of its job without a bound. A caller's huge estimate kept the Retry-After of all later refusals of the queue at 30 s, long after the load.

Change: the next return is at most the longest Retry-After ahead. The overload model does the same.

Measured: the new test got 30 s instead of 2 s before the change.

--- a/packages/daemon/src/jobs/return-schedule.test.ts
+++ b/packages/daemon/src/jobs/return-schedule.test.ts
@@ -20,4 +20,14 @@
 			queue: 'plans', roomInMs: 0, serviceMs: 1, now: 0,
 		}), 30);
 	});
+
+	it('guards against a job with a huge estimate that keeps the others of its queue away for longer than the longest Retry-After', () => {
+		const schedule = new ReturnSchedule();
+		schedule.add({
+			queue: 'plans', roomInMs: 0, serviceMs: 1e9, now: 0,
+		});
+		assert.equal(schedule.add({
+			queue: 'plans', roomInMs: 2000, serviceMs: 1, now: 31_000,
+		}), 2);
+	});
 });
--- a/packages/daemon/src/jobs/return-schedule.ts
+++ b/packages/daemon/src/jobs/return-schedule.ts
@@ -34,7 +34,8 @@
 		const earliest = now + roomInMs;
 		const latest = now + (maximumRetryAfterSeconds * millisecondsPerSecond);
 		const returnAt = Math.min(latest, Math.max(earliest, this.#nextReturnAt.get(queue) ?? 0));
-		this.#nextReturnAt.set(queue, returnAt + serviceMs);
+		// Estimates come from callers: a huge one must not keep others away for longer than the longest `Retry-After`.
+		this.#nextReturnAt.set(queue, Math.min(latest, returnAt + serviceMs));
 		return Math.min(maximumRetryAfterSeconds, Math.max(minimumRetryAfterSeconds, Math.ceil((returnAt - now) / millisecondsPerSecond)));
 	}
 }
--- a/packages/testing/src/jobs/simulate-overload.ts
+++ b/packages/testing/src/jobs/simulate-overload.ts
@@ -99,8 +99,9 @@
 	let nextReturnAt = 0;
 	/** Spreads the returns as one `ReturnSchedule` for all callers does. */
 	const findReturn = ({roomInMs, serviceMs}: Refusal, now: number): number => {
-		const at = Math.min(now + 30_000, Math.max(now + roomInMs, nextReturnAt));
-		nextReturnAt = at + serviceMs;
+		const latest = now + 30_000;
+		const at = Math.min(latest, Math.max(now + roomInMs, nextReturnAt));
+		nextReturnAt = Math.min(latest, at + serviceMs);
 		return now + (Math.max(1, Math.ceil((at - now) / 1000)) * 1000);
 	};
 
