--- a/packages/daemon/src/jobs/job-store-admission.test.ts
+++ b/packages/daemon/src/jobs/job-store-admission.test.ts
@@ -44,8 +44,9 @@
 		}));
 	}
 
+	/** Carries out the late transactions. Each call carries out all of them again, as if they arrived only then. */
 	carryOut(): void {
-		for (const transaction of this.#late.splice(0)) {
+		for (const transaction of this.#late) {
 			this.model.transact(transaction);
 		}
 	}
