--- a/packages/daemon/src/jobs/job-store-admission.test.ts
+++ b/packages/daemon/src/jobs/job-store-admission.test.ts
@@ -205,6 +205,16 @@
 		assert.equal(store.isStored, false);
 	});
 
+	it('guards against an unknown outcome after the record changed and the store became unavailable', async () => {
+		const store = new FaultyStore();
+		store.faults.push('late', 'none', ...Array.from({length: 20}, () => 'unavailable' as const));
+		const accepting = store.submit(store.createInstance());
+		store.publish({isOverloaded: false});
+		assert.equal(await accepting, 'unavailable');
+		store.carryOut();
+		assert.equal(store.isStored, false);
+	});
+
 	it('guards against an instance that stores a job by a later record after its caller gave up and was refused elsewhere', async () => {
 		const store = new FaultyStore();
 		store.faults.push('unavailable');
