Sort only the waiting jobs whose place has changed

Cause: each decision on the order sorted all waiting jobs, with two logarithms in each comparison, and measured every outlook again after 1 s even if nothing it depends on had changed. Change: the sorted order is kept between decisions; jobs that are new or in another class of rating are sorted and inserted. An outlook past its lifetime is kept if the estimates of its steps and the mean work of its queue are the same.

--- a/packages/core/src/jobs/order/job-outlook.ts
+++ b/packages/core/src/jobs/order/job-outlook.ts
@@ -10,7 +10,11 @@
 	/** Number of changes to the job when this was measured. */
 	readonly changes: number;
 	readonly configuration: Configuration;
-	readonly measuredAt: number;
+	measuredAt: number;
+	/** Estimated run times of the steps in milliseconds. */
+	readonly durations: readonly number[];
+	/** Mean work of the queue, in thousandths of a core times milliseconds. */
+	readonly meanWork: number;
 	readonly service: string;
 	readonly priority: number;
 	readonly isLongRunning: boolean;
@@ -24,6 +28,14 @@
 	readonly waitingWork: number;
 	/** Resources of the tasks that are ready and not assigned to a worker. */
 	readonly waiting: Resources;
-	/** Rating at the last decision on the order; 1 for a long-running job. */
+	/** Rating at the last decision on the order; 1 for a long-running job, NaN before the first decision. */
 	rating: number;
+	/** Class of the rating; ratings of one class count as equal. */
+	ratingClass: number;
+	/** Position of the job in the list of waiting jobs at the last decision. */
+	position: number;
+	/** Number of the last decision on the order that the outlook took part in; -1 before the first. */
+	decision: number;
+	/** Number of the last decision at which the job had to be sorted anew. */
+	changedAtDecision: number;
 };
--- a/packages/core/src/jobs/order/measure-outlook.ts
+++ b/packages/core/src/jobs/order/measure-outlook.ts
@@ -30,7 +30,8 @@
  */
 export function measureOutlook(scheduler: Scheduler, job: ActiveJob, now: number): JobOutlook {
 	const known = job.outlook;
-	if (known?.changes === job.changes && known.configuration === scheduler.configuration && now - known.measuredAt < outlookLifetimeMs) {
+	if (known?.changes === job.changes && known.configuration === scheduler.configuration && (now - known.measuredAt < outlookLifetimeMs || areEstimatesUnchanged(scheduler, known))) {
+		known.measuredAt = now - known.measuredAt < outlookLifetimeMs ? known.measuredAt : now;
 		return known;
 	}
 
@@ -52,12 +53,24 @@
 		remainingMs: estimateCriticalPath(scheduler, job, position => current[position]?.remaining !== 0),
 		value: fixedValue + (meanWork > 0 ? (1 - fixedValue) * work / meanWork : 1 - fixedValue),
 		...measureWaitingTasks(scheduler, job),
-		rating: 0,
+		durations: job.definition.steps.map((_, position) => estimateDuration(scheduler, job, position)),
+		meanWork,
+		rating: Number.NaN,
+		ratingClass: 0,
+		position: 0,
+		decision: -1,
+		changedAtDecision: 0,
 	};
 	job.outlook = outlook;
 	return outlook;
 }
 
+/** Tells whether an outlook that has reached its lifetime would be measured as the same again. */
+function areEstimatesUnchanged(scheduler: Scheduler, {job, durations, meanWork}: JobOutlook): boolean {
+	return scheduler.meanWorkByQueue.get(job.definition.queue) === meanWork
+		&& durations.every((duration, position) => estimateDuration(scheduler, job, position) === duration);
+}
+
 /** Time from the acceptance of a job to the due time of its current occurrence, in milliseconds. */
 function findDelay({definition, completedOccurrences}: ActiveJob): number {
 	const {repeatCount, startAtMs, intervalMs, acceptedAtMs} = definition;
--- a/packages/core/src/jobs/order/order-jobs.ts
+++ b/packages/core/src/jobs/order/order-jobs.ts
@@ -7,6 +7,7 @@
 import {measureOutlook} from './measure-outlook.js';
 import {measureUsage} from './measure-usage.js';
 import {rateJob} from './rate-job.js';
+import {sortOutlooks} from './sort-outlooks.js';
 
 /** Usage of an organisation, in thousandths of a core by the dominant resource, as it grows in the order of placement. */
 type Balance = {used: number; readonly share: number};
@@ -16,6 +17,9 @@
 /** Ratio between two classes of ratings; smaller differences come from the error of learned run times; wider classes ignore real differences in value. */
 const ratingClassRatio = 1.03;
 
+/** Width of a class of ratings in log space. */
+const ratingClassWidth = Math.log(ratingClassRatio);
+
 /**
  * Orders waiting jobs for placement: long-running jobs, jobs of organisations that use less than their share of the
  * service, other jobs, and jobs that are no longer of use. Within each of these, jobs go by priority, then by the value
@@ -30,19 +34,29 @@
  * orderJobs(scheduler, waiting, now);
  */
 export function orderJobs(scheduler: Scheduler, jobs: readonly ActiveJob[], now: number): ActiveJob[] {
+	scheduler.orderNumber++;
 	const outlooks: JobOutlook[] = [];
+	let previousPosition = -1;
+	let isRearranged = false;
 	for (const job of jobs) {
 		const outlook = measureOutlook(scheduler, job, now);
-		outlook.rating = outlook.isLongRunning ? 1 : rateJob(outlook, now - outlook.dueAt);
+		if (outlook.decision === scheduler.orderNumber - 1) {
+			isRearranged ||= outlook.position < previousPosition;
+			previousPosition = outlook.position;
+		}
+
+		updateRating(outlook, {decision: scheduler.orderNumber, now});
+		outlook.position = outlooks.length;
 		outlooks.push(outlook);
 	}
 
 	const accounts = openAccounts(scheduler, outlooks, now);
-	outlooks.sort(compareOutlooks);
+	const sorted = sortOutlooks(outlooks, isRearranged ? undefined : scheduler.previousOrder, scheduler.orderNumber);
+	scheduler.previousOrder = sorted;
 	const ordered: ActiveJob[] = [];
 	const beyond: ActiveJob[] = [];
 	const useless: ActiveJob[] = [];
-	for (const outlook of outlooks) {
+	for (const outlook of sorted) {
 		const isWithinShare = accounts.size === 0 || chargeAccount(accounts.get(outlook.service), outlook);
 		if (outlook.rating === 0) {
 			useless.push(outlook.job);
@@ -56,22 +70,26 @@
 	return [...ordered, ...beyond, ...useless];
 }
 
-/** Long-running jobs first, then jobs of use, then by priority and rating; the older one of equal jobs. */
-function compareOutlooks(left: JobOutlook, right: JobOutlook): number {
-	if (left.isLongRunning !== right.isLongRunning) {
-		return left.isLongRunning ? -1 : 1;
+/** Rates a job at a decision on the order, and notes whether its place may differ from that at the previous decision. */
+function updateRating(outlook: JobOutlook, {decision, now}: {decision: number; now: number}): void {
+	const rating = outlook.isLongRunning ? 1 : rateJob(outlook, now - outlook.dueAt);
+	let hasChanged = outlook.decision !== decision - 1;
+	if (rating !== outlook.rating) {
+		const ratingClass = classifyRating(rating);
+		hasChanged ||= ratingClass !== outlook.ratingClass || rating === 0 !== (outlook.rating === 0);
+		outlook.rating = rating;
+		outlook.ratingClass = ratingClass;
 	}
 
-	if (left.rating === 0 !== (right.rating === 0)) {
-		return left.rating === 0 ? 1 : -1;
+	outlook.decision = decision;
+	if (hasChanged) {
+		outlook.changedAtDecision = decision;
 	}
-
-	return left.priority - right.priority || classifyRating(right.rating) - classifyRating(left.rating) || left.dueAt - right.dueAt;
 }
 
 /** Ratings of one class count as equal: learned run times differ a little between equal jobs, and newer jobs would else be placed before older ones. */
 function classifyRating(rating: number): number {
-	return rating === 0 ? 0 : Math.round(Math.log(rating) / Math.log(ratingClassRatio));
+	return rating === 0 ? 0 : Math.round(Math.log(rating) / ratingClassWidth);
 }
 
 /** Opens accounts for the services on which organisations compete. */
@@ -109,8 +127,12 @@
 function addWaitingResources(outlooks: readonly JobOutlook[]): Map<string, Map<string, Resources>> {
 	const byService = new Map<string, Map<string, Resources>>();
 	for (const {service, organisation, waiting} of outlooks) {
-		const byOrganisation = byService.get(service) ?? new Map<string, Resources>();
-		byService.set(service, byOrganisation);
+		let byOrganisation = byService.get(service);
+		if (byOrganisation === undefined) {
+			byOrganisation = new Map<string, Resources>();
+			byService.set(service, byOrganisation);
+		}
+
 		const sum = byOrganisation.get(organisation);
 		if (sum === undefined) {
 			byOrganisation.set(organisation, {...waiting});
--- a/packages/core/src/jobs/order/rate-job.ts
+++ b/packages/core/src/jobs/order/rate-job.ts
@@ -4,6 +4,8 @@
 /** Factor by which estimates of run times are off in either direction. */
 const estimateErrorFactor = 2.5;
 
+const estimateErrorLog = Math.log(estimateErrorFactor);
+
 /** Value of a late answer relative to one within the objective: its caller has improvised already. */
 const lateValue = 0.2;
 
@@ -35,5 +37,6 @@
 		return 0;
 	}
 
-	return Math.min(1, Math.max(0, 1 + (Math.log(leftMs / Math.max(1, remainingMs)) / Math.log(estimateErrorFactor))));
+	const neededMs = Math.max(1, remainingMs);
+	return leftMs >= neededMs ? 1 : Math.max(0, 1 + (Math.log(leftMs / neededMs) / estimateErrorLog));
 }
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -61,6 +61,8 @@
 		contention: new Map(),
 		meanUsage: new Map(),
 		meanUsageAt: now,
+		orderNumber: 0,
+		previousOrder: [],
 		orderLogDueAt: now,
 		dirtyJobs: new Set(),
 		holdersDirty: false,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -301,6 +301,10 @@
 	meanUsage: ReadonlyMap<string, ReadonlyMap<string, number>>;
 	/** Local time at which `meanUsage` was last updated. */
 	meanUsageAt: number;
+	/** Number of the last decision on the order, from 1. */
+	orderNumber: number;
+	/** Waiting jobs as the last decision sorted them, before shares. */
+	previousOrder: readonly JobOutlook[];
 	/** Local time from which the next decision on the order may be logged. */
 	orderLogDueAt: number;
 	/** Jobs with changes that are not written yet. */
