Publish a view of the schedule for operators

Cause: operators could see pools, usage against share and the place of a job only in the log of the owner.

--- a/packages/cli/src/fleet/commands/status.ts
+++ b/packages/cli/src/fleet/commands/status.ts
@@ -1,16 +1,19 @@
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
 import {formatSection} from '../format-section.js';
+import {formatShares} from '../format-shares.js';
 import {exitCodes, type CommandOutput, PlatformCommand} from '../platform-command.js';
 import {readScheduleState, type ReadResult} from '../read-schedule-state.js';
+import {readView} from '../read-view.js';
 
-/** `rosemaryquay-fleet status`: shows the owner of the schedule, workers, waiting jobs, withdrawn availability zones and maintenance waves. */
+/** `rosemaryquay-fleet status`: shows the owner of the schedule, workers, waiting jobs, usage against share of the organisations, withdrawn availability zones and maintenance waves. */
 export class StatusCommand extends PlatformCommand {
 	static override paths = [['status']];
-	static override usage = PlatformCommand.Usage({description: 'Show the owner of the schedule, its workers, waiting jobs, withdrawn availability zones and maintenance waves'});
+	static override usage = PlatformCommand.Usage({description: 'Show the owner of the schedule, its workers, waiting jobs, usage against share, withdrawn availability zones and maintenance waves'});
 
 	protected override async createOutput(platform: Platform): Promise<ReadResult<CommandOutput>> {
-		const [state, waveStatuses, registrations] = await Promise.all([
+		const [state, published, waveStatuses, registrations] = await Promise.all([
 			readScheduleState(platform),
+			readView(platform),
 			platform.store.list(platform.operatorFormat.waveStatusPrefix),
 			platform.store.list(platform.registrationFormat.prefix),
 		]);
@@ -18,6 +21,10 @@
 			return state;
 		}
 
+		if (!published.ok) {
+			return published;
+		}
+
 		if (!waveStatuses.ok || !registrations.ok) {
 			return {ok: false, detail: 'waves or workers did not answer'};
 		}
@@ -35,11 +42,13 @@
 				pool, workers: poolWorkers.length, leaving: poolWorkers.filter(({leaving}) => leaving).length, cpuMillis: poolWorkers.reduce((sum, {capacity}) => sum + capacity.cpuMillis, 0),
 			};
 		});
+		const {view, problem} = published.value;
+		const shares = formatShares(view?.shares ?? []);
 		return {
 			ok: true,
 			value: {
 				value: {
-					owner: owner ?? null, ownerRevision, term, holders, withdrawnZones: operatorState.withdrawnZones, waiting: waiting ?? null, pools, waves,
+					owner: owner ?? null, ownerRevision, term, holders, withdrawnZones: operatorState.withdrawnZones, waiting: waiting ?? null, shares, pools, waves, ...(problem !== undefined && {problem}),
 				},
 				lines: [
 					owner === undefined ? 'Nobody owns the schedule.' : `Owner ${JSON.stringify(owner)}, term ${term}, fence ${ownerRevision}`,
@@ -47,6 +56,7 @@
 					`Withdrawn availability zones: ${operatorState.withdrawnZones.join(', ') || 'none'}`,
 					`Waiting jobs: ${JSON.stringify(waiting ?? {})}`,
 					'',
+					...(view === undefined ? [`Usage against share: ${problem}`, ''] : formatSection('Usage against share', shares)),
 					...formatSection('Pools', pools),
 					...formatSection('Waves', waves),
 				],
--- a/packages/cli/src/fleet/create-fleet-cli.ts
+++ b/packages/cli/src/fleet/create-fleet-cli.ts
@@ -3,6 +3,7 @@
 import {CheckCommand} from './commands/check.js';
 import {ExplainCommand} from './commands/explain.js';
 import {JobCommand, JobsCommand} from './commands/jobs.js';
+import {PoolsCommand} from './commands/pools.js';
 import {StatusCommand} from './commands/status.js';
 import {type FleetCliContext} from './fleet-cli-context.js';
 
@@ -19,7 +20,7 @@
 	const cli = new Cli<FleetCliContext>({binaryLabel: 'rosemaryquay on the platform', binaryName: 'rosemaryquay-fleet', binaryVersion: '0.1.0'});
 	cli.register(Builtins.HelpCommand);
 	cli.register(Builtins.VersionCommand);
-	for (const command of [CatalogueCommand, CheckCommand, ExplainCommand, JobCommand, JobsCommand, StatusCommand]) {
+	for (const command of [CatalogueCommand, CheckCommand, ExplainCommand, JobCommand, JobsCommand, PoolsCommand, StatusCommand]) {
 		cli.register(command);
 	}
 
--- a/packages/core/src/jobs/order/order-jobs.ts
+++ b/packages/core/src/jobs/order/order-jobs.ts
@@ -67,7 +67,9 @@
 		}
 	}
 
-	return [...ordered, ...beyond, ...useless];
+	const placementOrder = [...ordered, ...beyond, ...useless];
+	scheduler.placementOrder = placementOrder;
+	return placementOrder;
 }
 
 /** Rates a job at a decision on the order, and notes whether its place may differ from that at the previous decision. */
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -63,6 +63,7 @@
 		meanUsageAt: now,
 		orderNumber: 0,
 		previousOrder: [],
+		placementOrder: [],
 		orderLogDueAt: now,
 		dirtyJobs: new Set(),
 		holdersDirty: false,
@@ -86,6 +87,7 @@
 		waves: new Map(),
 		dirtyWaves: new Set(),
 		estimates: createEstimates(),
+		views: {latest: undefined, published: '', forecasts: new Map()},
 	};
 	restoreSummary(scheduler.estimates, options.estimates, now);
 	for (const holder of holders) {
--- a/packages/core/src/jobs/state/effect.ts
+++ b/packages/core/src/jobs/state/effect.ts
@@ -18,7 +18,8 @@
 	| {readonly type: 'report'; readonly worker: string; readonly address: string; readonly leaseUntilMs: number | undefined; readonly storedEnd: number; readonly waitMs: number}
 	| {readonly type: 'limit-speed'; readonly worker: string; readonly address: string; readonly task: string; readonly run: number; readonly percent: number}
 	| {readonly type: 'commit'; readonly number: number; readonly writes: readonly StoreWrite[]}
-	| {readonly type: 'publish-summary'; readonly queues: Readonly<Record<string, QueueSummary>>}
+	/** `view`: the encoded view of the schedule, if it has changed since it was last published. */
+	| {readonly type: 'publish-summary'; readonly queues: Readonly<Record<string, QueueSummary>>; readonly view?: string | undefined}
 	| {readonly type: 'publish-wave'; readonly wave: number; readonly state: 'running' | 'completed'}
 	| {readonly type: 'ask-tickets'; readonly job: string; readonly occurrence: number; readonly step: number; readonly workers: readonly string[]}
 	| {readonly type: 'list-instances'}
--- a/packages/core/src/jobs/state/event.ts
+++ b/packages/core/src/jobs/state/event.ts
@@ -79,7 +79,9 @@
 	| {readonly type: 'upkeep-answered'; readonly wave: number; readonly instance: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered'}
 	/** The outcomes are those of `upkeep-answered`. */
 	| {readonly type: 'move-answered'; readonly instance: string; readonly pool: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered'}
-	| {readonly type: 'wave-published'; readonly wave: number; readonly state: 'running' | 'completed'; readonly stored: boolean};
+	| {readonly type: 'wave-published'; readonly wave: number; readonly state: 'running' | 'completed'; readonly stored: boolean}
+	/** The store did not take the view of the schedule. */
+	| {readonly type: 'view-not-stored'};
 
 /** Monotonic local time and wall-clock time at which an event is handled, both in milliseconds. */
 export type EventTime = {readonly now: number; readonly timeOfDay: number};
--- a/packages/core/src/jobs/state/publish-summary.ts
+++ b/packages/core/src/jobs/state/publish-summary.ts
@@ -1,10 +1,13 @@
 import {logPoolLoads} from '../pools/log-pool-loads.js';
+import {encodeView} from '../views/encode-view.js';
+import {measureView} from '../views/measure-view.js';
 import {summaryIntervalMs} from './constants.js';
 import {type QueueSummary} from './effect.js';
 import {type ReducerContext} from './reducer-context.js';
 
 /**
- * Publishes the number of jobs of each queue that have not started, at intervals.
+ * Publishes the number of jobs of each queue that have not started, at intervals, with the view of the schedule if it has
+ * changed. Both are written in one store call.
  *
  * @param context - the reducer context; its state is changed and an effect may be added
  * @example
@@ -24,6 +27,10 @@
 		}
 	}
 
-	context.effects.push({type: 'publish-summary', queues});
+	const latest = measureView(scheduler, {queues, now});
+	const view = encodeView(latest);
+	context.effects.push({type: 'publish-summary', queues, ...(view !== scheduler.views.published && {view})});
+	scheduler.views.latest = latest;
+	scheduler.views.published = view;
 	logPoolLoads(context);
 }
--- a/packages/core/src/jobs/state/reduce-scheduler.ts
+++ b/packages/core/src/jobs/state/reduce-scheduler.ts
@@ -180,6 +180,9 @@
 			known.published = 'none';
 		}
 	},
+	'view-not-stored'({scheduler}) {
+		scheduler.views.published = '';
+	},
 };
 
 function runHousekeeping(context: ReducerContext): void {
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -9,6 +9,7 @@
 import {type OrderWindow} from '../runs/order-window.js';
 import {type JobOutlook} from '../order/job-outlook.js';
 import {type ServiceShares} from '../order/service-shares.js';
+import {type ViewState} from '../views/view-state.js';
 import {type Configuration, type Resources} from './configuration-schema.js';
 import {
 	type Drain, type ListedInstance, type Move, type Wave,
@@ -305,6 +306,8 @@
 	orderNumber: number;
 	/** Waiting jobs as the last decision sorted them, before shares. */
 	previousOrder: readonly JobOutlook[];
+	/** Waiting jobs in the order of placement, as of the last decision. */
+	placementOrder: readonly ActiveJob[];
 	/** Local time from which the next decision on the order may be logged. */
 	orderLogDueAt: number;
 	/** Jobs with changes that are not written yet. */
@@ -334,4 +337,5 @@
 	readonly waves: Map<number, Wave>;
 	readonly dirtyWaves: Set<Wave>;
 	readonly estimates: Estimates;
+	readonly views: ViewState;
 };
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -37,6 +37,9 @@
 /** Number of jobs that have not begun, by queue; published by the owner at intervals. */
 export const summaryKey = `${root}summary`;
 
+/** View of the schedule for operators; written together with the summary, and only when it has changed. */
+export const viewKey = `${root}view`;
+
 /** Prefix of the lists of instances whose maintenance is finished, one for each wave; the waves themselves are stored by the operators. */
 export const wavesPrefix = `${root}waves/`;
 
--- a/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.test.ts
@@ -8,7 +8,7 @@
 import {createLogger} from '../create-logger.js';
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
-import {ownerKey} from './keys.js';
+import {ownerKey, summaryKey, viewKey} from './keys.js';
 import {type EffectContext, performSchedulerEffect} from './perform-scheduler-effect.js';
 import {PayloadCache} from './payload-cache.js';
 import {type Platform, type WorkerCalls} from './ports.js';
@@ -21,10 +21,12 @@
 	const model = new StoreModel();
 	model.put(ownerKey, 'entry-1');
 	const delayed: Transaction[] = [];
+	const transactions: Transaction[] = [];
 	const events: SchedulerEvent[] = [];
 	const state = {isDelaying: false};
 	const store: Pick<Store, 'transact'> = {
 		async transact(transaction) {
+			transactions.push(transaction);
 			if (state.isDelaying) {
 				delayed.push(transaction);
 				return {ok: false, reason: 'outcome-unknown'};
@@ -67,8 +69,9 @@
 	};
 
 	const readProgress = (): unknown => JSON.parse(model.entries.get(createProgressKey('a'))?.value ?? 'null');
+	const readKey = (key: string): string | undefined => model.entries.get(key)?.value;
 	return {
-		context, state, events, commit, executeDelayed, readProgress,
+		context, state, events, commit, executeDelayed, readProgress, readKey, transactions,
 	};
 }
 
@@ -131,3 +134,31 @@
 		});
 	}
 });
+
+describe('view of the schedule', () => {
+	it('guards against a store call of its own: it is written together with the summary, and only when it is given', async () => {
+		const {context, readKey, transactions} = createContext();
+		performSchedulerEffect({type: 'publish-summary', queues: {plans: {waiting: 2}}, view: '{"term":1}'}, context);
+		await settle();
+		assert.equal(transactions.length, 1);
+		assert.equal(readKey(viewKey), '{"term":1}');
+		assert.match(readKey(summaryKey) ?? '', /"waiting":2/);
+		performSchedulerEffect({type: 'publish-summary', queues: {}}, context);
+		await settle();
+		assert.deepEqual(transactions.at(-1)?.success.map(operation => operation.key), [summaryKey]);
+	});
+
+	it('guards against a lost view: the scheduler learns that the store did not take it', async () => {
+		const {context, state, events} = createContext();
+		state.isDelaying = true;
+		performSchedulerEffect({type: 'publish-summary', queues: {}, view: '{}'}, context);
+		await settle();
+		assert.deepEqual(events, [{type: 'view-not-stored'}]);
+	});
+});
+
+async function settle(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -9,7 +9,7 @@
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
 import {
-	holdersKey, commitGuardKey, estimatesKey, jobParts, ownerKey, summaryKey, wavesPrefix,
+	holdersKey, commitGuardKey, estimatesKey, jobParts, ownerKey, summaryKey, viewKey, wavesPrefix,
 } from './keys.js';
 import {type OwnershipGrant} from './owner-election.js';
 import {type PayloadCache} from './payload-cache.js';
@@ -95,9 +95,17 @@
 		finishEndedJobs(writes, context);
 		context.dispatch({type: 'committed', number});
 	},
-	async 'publish-summary'({queues}, context) {
+	async 'publish-summary'({queues, view}, context) {
 		const value = JSON.stringify({publishedAtMs: Date.now(), queues});
-		await writeAsOwner([{type: 'put', key: summaryKey, value}], context);
+		const operations: Operation[] = [{type: 'put', key: summaryKey, value}];
+		if (view !== undefined) {
+			operations.push({type: 'put', key: viewKey, value: view});
+		}
+
+		const stored = await writeAsOwner(operations, context);
+		if (view !== undefined && !stored) {
+			context.dispatch({type: 'view-not-stored'});
+		}
 	},
 	async 'publish-wave'({wave, state}, context) {
 		const stored = await writeAsOwner([context.platform.operatorFormat.encodeWaveStatus(wave, state)], context);
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -35,6 +35,8 @@
 	readonly checker: InvariantChecker;
 	readonly workers = new Map<string, WorkerModel>();
 	readonly log: Array<{at: number; event: string; fields: Readonly<Record<string, unknown>>}> = [];
+	/** Views of the schedule, as the owners have published them. */
+	readonly publishedViews: Array<{at: number; view: string}> = [];
 	readonly waveStates = new Map<number, 'running' | 'completed'>();
 	/** Workers that receive no calls, send no answers and write no heartbeats. */
 	readonly silentWorkers = new Set<string>();
@@ -108,7 +110,11 @@
 				});
 			});
 		},
-		'publish-summary': () => undefined,
+		'publish-summary': ({view}) => {
+			if (view !== undefined) {
+				this.publishedViews.push({at: this.now, view});
+			}
+		},
 		'publish-wave': ({wave, state}, owner) => {
 			this.waveStates.set(wave, state);
 			const request = state === 'completed' ? this.#waves.find(({number}) => number === wave) : undefined;
