Serve metrics of pools, shares and the error of the forecast

Cause: usage against share, instances by pool and the error of the forecast were only in the log of the owner. Change: gauges with labels, read from the view that the owner measures once a second; at most 400 series each, and series of names that are gone are removed. Figures: no measurement beyond that of the view; the gauges are computed only at a scrape.

--- a/packages/daemon/src/jobs/fleet-process.ts
+++ b/packages/daemon/src/jobs/fleet-process.ts
@@ -3,6 +3,7 @@
 import {JobApiServer} from './job-api-server.js';
 import {JobStore} from './job-store.js';
 import {listChangedFields} from './list-changed-fields.js';
+import {listViewGauges} from './list-view-gauges.js';
 import {MetricsServer} from './metrics-server.js';
 import {OperatorStateCache} from './operator-state-cache.js';
 import {type OwnershipGrant, OwnerElection} from './owner-election.js';
@@ -48,6 +49,12 @@
 				slowWorkers: {help: 'Instances that the owner holds back because their workers are much slower than their peers', read: () => this.#schedulerRunner?.counts.slowWorkers ?? 0},
 				scheduledWorkers: {help: 'Workers known to the owner', read: () => this.#schedulerRunner?.counts.workers ?? 0},
 			},
+			labelledGauges: {
+				poolInstances: {help: 'Instances of each pool by state, at the owner', labelNames: ['pool', 'state'], read: () => listViewGauges(this.#schedulerRunner?.view).poolInstances},
+				poolCores: {help: 'Capacity, use, forecast demand and mean error of the forecast of each pool in cores, at the owner', labelNames: ['pool', 'kind'], read: () => listViewGauges(this.#schedulerRunner?.view).poolCores},
+				organisationCores: {help: 'Usage, share and waiting tasks of organisations that compete for a service in cores, at the owner; at most 20 organisations of a service', labelNames: ['service', 'organisation', 'kind'], read: () => listViewGauges(this.#schedulerRunner?.view).organisationCores},
+				waitingJobs: {help: 'Jobs with tasks that wait to be placed, by service, at the owner', labelNames: ['service'], read: () => listViewGauges(this.#schedulerRunner?.view).waitingJobs},
+			},
 		});
 		const logger = metrics.countEvents(options.logger);
 		this.#logger = logger;
--- a/packages/daemon/src/jobs/process-metrics.ts
+++ b/packages/daemon/src/jobs/process-metrics.ts
@@ -6,6 +6,15 @@
 /** Upper bounds of the latency buckets, from a fast answer of the store to the longest wait of a caller. */
 const latencyBucketsSeconds = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
+/** Most series of a gauge with labels; later ones are left out, so that a scrape stays small however many names a deployment has. */
+const maximumSeries = 400;
+
+/** One value of a gauge with labels. */
+export type LabelledValue = {readonly labels: Readonly<Record<string, string>>; readonly value: number};
+
+type GaugeSource = {readonly help: string; read(): number};
+type LabelledGaugeSource = {readonly help: string; readonly labelNames: readonly string[]; read(): readonly LabelledValue[]};
+
 /** Counters, gauges and latency histograms of a process, formatted for a Prometheus scraper. */
 export class ProcessMetrics {
 	readonly #registry = new Registry();
@@ -17,7 +26,7 @@
 		name: 'rosemaryquay_call_seconds', help: 'Time to answer a caller', labelNames: ['method', 'status'], buckets: latencyBucketsSeconds, registers: [this.#registry],
 	});
 
-	constructor(options: {gauges: Readonly<Record<string, {readonly help: string; read(): number}>>}) {
+	constructor(options: {gauges: Readonly<Record<string, GaugeSource>>; labelledGauges?: Readonly<Record<string, LabelledGaugeSource>>}) {
 		for (const [name, {help, read}] of Object.entries(options.gauges)) {
 			const gauge = new Gauge({
 				name: `rosemaryquay_${formatMetricName(name)}`,
@@ -28,6 +37,22 @@
 				},
 			});
 		}
+
+		for (const [name, {help, labelNames, read}] of Object.entries(options.labelledGauges ?? {})) {
+			const gauge = new Gauge({
+				name: `rosemaryquay_${formatMetricName(name)}`,
+				help,
+				labelNames: [...labelNames],
+				registers: [this.#registry],
+				collect() {
+					// Series of organisations that no longer compete, and of pools that are gone, must not stay.
+					gauge.reset();
+					for (const {labels, value} of read().slice(0, maximumSeries)) {
+						gauge.set(labels, value);
+					}
+				},
+			});
+		}
 	}
 
 	observeCall(method: string, status: number, durationMs: number): void {
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -9,6 +9,7 @@
 import {isStartPending} from '@rosemaryquay/core/jobs/runs/is-start-pending';
 import {reduceScheduler} from '@rosemaryquay/core/jobs/state/reduce-scheduler';
 import {type LeaseHolder, type Scheduler} from '@rosemaryquay/core/jobs/state/scheduler';
+import {type View} from '@rosemaryquay/core/jobs/views/view-schema';
 import {type Change, type Listing} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
 import {decodeUnfinishedJobs} from './decode-unfinished-jobs.js';
@@ -129,6 +130,11 @@
 		};
 	}
 
+	/** View of the schedule as it was last measured, at most a second ago. */
+	get view(): View | undefined {
+		return this.#scheduler?.views.latest;
+	}
+
 	/** Handles an event and performs the resulting effects. */
 	dispatch(event: SchedulerEvent): void {
 		if (this.#isStopped || this.#scheduler === undefined) {
