Check disruption budgets against open waves, and name whom a change affects

Cause: fleet check did not find a mayMiss that no wave of upkeep can respect, prefixes without a slash and hosts with a port, which never match; a changed body size passed unseen, and differences named neither queues nor organisations. Change: check reads the open waves from the store and reports a step that may miss no task, or of which more tasks must leave the instances of a wave than can be relocated in its duration. Differences list the queues and organisations that they affect, and include values that are in no list.

--- a/packages/cli/src/fleet/check-configuration-file.ts
+++ b/packages/cli/src/fleet/check-configuration-file.ts
@@ -3,6 +3,7 @@
 import {type Finding, type Path} from '@rosemaryquay/core/jobs/configuration/finding';
 import {type ParsedConfiguration} from '@rosemaryquay/core/jobs/configuration/parsed-configuration';
 import {type Configuration, configurationSchema} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type WaveRequest} from '@rosemaryquay/core/jobs/state/instance';
 import {type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 import {type ConfigurationFormat} from './fleet-cli-context.js';
@@ -24,8 +25,8 @@
  * @example
  * checkConfigurationFile(text, {format});
  */
-export function checkConfigurationFile(text: string, options: {format: ConfigurationFormat; workers?: readonly ListedWorker[] | undefined; jobs?: readonly Job[] | undefined}): CheckedConfiguration | undefined {
-	const {format, workers, jobs} = options;
+export function checkConfigurationFile(text: string, options: {format: ConfigurationFormat; workers?: readonly ListedWorker[] | undefined; jobs?: readonly Job[] | undefined; waves?: readonly WaveRequest[] | undefined}): CheckedConfiguration | undefined {
+	const {format, workers, jobs, waves} = options;
 	const lineCounter = new LineCounter();
 	const document = parseDocument(text, {lineCounter});
 	if (document.errors.length > 0) {
@@ -57,7 +58,7 @@
 		return {configuration: undefined, findings: parsed.findings.map(finding => ({...finding, line: findLine(finding.path)}))};
 	}
 
-	const findings = checkConfiguration(parsed.configuration, {...(workers !== undefined && {workers}), ...(jobs !== undefined && {jobs})});
+	const findings = checkConfiguration(parsed.configuration, {...(workers !== undefined && {workers}), ...(jobs !== undefined && {jobs}), ...(waves !== undefined && {waves})});
 	return {
 		configuration: parsed.configuration,
 		findings: findings.map(finding => {
--- a/packages/cli/src/fleet/commands/check.ts
+++ b/packages/cli/src/fleet/commands/check.ts
@@ -2,6 +2,7 @@
 import {Command, Option} from 'clipanion';
 import {compareConfigurations, type Difference} from '@rosemaryquay/core/jobs/configuration/compare-configurations';
 import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {type WaveRequest} from '@rosemaryquay/core/jobs/state/instance';
 import {type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
 import {type Platform} from '@rosemaryquay/daemon/jobs/ports';
@@ -12,7 +13,7 @@
 import {readUnfinishedJobs} from '../read-unfinished-jobs.js';
 
 /** What the store holds at present. */
-type Surroundings = {readonly configuration: Configuration | undefined; readonly workers: readonly ListedWorker[]; readonly jobs: readonly Job[]};
+type Surroundings = {readonly configuration: Configuration | undefined; readonly workers: readonly ListedWorker[]; readonly jobs: readonly Job[]; readonly waves: readonly WaveRequest[]};
 
 type CheckedFile = {readonly file: string; readonly problems: readonly string[]; readonly findings?: readonly LocatedFinding[]; readonly differences?: readonly Difference[]};
 
@@ -21,7 +22,7 @@
 	static override paths = [['check']];
 	static override usage = Command.Usage({
 		description: 'Validate settings files of processes, and configurations before they are sent',
-		details: 'A configuration is read in the project\'s own format or in that of the platform, as JSON or YAML. With --settings it is also compared with the one in force, and with the workers and unfinished jobs that the store holds.',
+		details: 'A configuration is read in the project\'s own format or in that of the platform, as JSON or YAML. With --settings it is also compared with the one in force, and with the workers, unfinished jobs and open waves that the store holds.',
 	});
 
 	settings = Option.String('--settings', {description: 'Settings file of a process; compares configurations with what its store holds'});
@@ -48,7 +49,9 @@
 	}
 
 	#checkFile(file: string, text: string, surroundings: Surroundings | undefined): CheckedFile {
-		const checked = checkConfigurationFile(text, {format: this.context.configurationFormat, workers: surroundings?.workers, jobs: surroundings?.jobs});
+		const checked = checkConfigurationFile(text, {
+			format: this.context.configurationFormat, workers: surroundings?.workers, jobs: surroundings?.jobs, waves: surroundings?.waves,
+		});
 		if (checked === undefined) {
 			const decoded = this.context.decodeSettings(text);
 			return {file, problems: decoded.ok ? [] : decoded.problems};
@@ -98,8 +101,10 @@
 }
 
 async function readFromStore(platform: Platform): Promise<ReadResult<Surroundings>> {
-	const {registrationFormat, store} = platform;
-	const [state, jobs, registrations] = await Promise.all([readScheduleState(platform), readUnfinishedJobs(platform), store.list(registrationFormat.prefix)]);
+	const {registrationFormat, operatorFormat, store} = platform;
+	const [state, jobs, registrations, statuses] = await Promise.all([
+		readScheduleState(platform), readUnfinishedJobs(platform), store.list(registrationFormat.prefix), store.list(operatorFormat.waveStatusPrefix),
+	]);
 	if (!state.ok) {
 		return state;
 	}
@@ -112,12 +117,18 @@
 		return {ok: false, detail: registrations.detail ?? registrations.reason};
 	}
 
+	if (!statuses.ok) {
+		return {ok: false, detail: statuses.detail ?? statuses.reason};
+	}
+
+	const completed = new Set(statuses.value.entries.map(entry => operatorFormat.decodeCompletedWave(entry)));
 	return {
 		ok: true,
 		value: {
 			configuration: state.value.operatorState.configuration,
 			workers: registrations.value.entries.map(entry => registrationFormat.decode(entry)).filter(worker => worker !== undefined),
-			jobs: jobs.value.map(({job}) => job),
+			jobs: jobs.value.filter(({cancelled}) => !cancelled).map(({job}) => job),
+			waves: state.value.operatorState.waves.filter(({number}) => !completed.has(number)),
 		},
 	};
 }
@@ -134,8 +145,8 @@
 	return problems.length === 0 ? [...lines, `${file}: valid`] : lines;
 }
 
-function formatDifference({list, name, change, fields, unfinishedJobs}: Difference): string {
-	return `${change} in ${list}: ${name}${change === 'changed' ? ` (${formatFields(fields)})` : ''}, ${unfinishedJobs} unfinished jobs`;
+function formatDifference({list, name, change, fields, queues, organisations, unfinishedJobs}: Difference): string {
+	return `${change} in ${list}: ${name}${change === 'changed' ? ` (${formatFields(fields)})` : ''}, affects queues ${queues.join(' ') || 'none'}, organisations ${organisations.join(' ') || 'none'}, ${unfinishedJobs} unfinished jobs`;
 }
 
 function formatFields(fields: Difference['fields']): string {
--- a/packages/core/src/jobs/configuration/check-configuration.test.ts
+++ b/packages/core/src/jobs/configuration/check-configuration.test.ts
@@ -23,6 +23,8 @@
 
 const cases: Case[] = [
 	{name: 'two queues with one path', configuration: createConfiguration({queues: [queue, {...queue, name: 'b'}]}), expected: /can never match/},
+	{name: 'a path prefix without a slash', configuration: createConfiguration({queues: [{...queue, pathPrefix: 'plans/'}]}), expected: /does not start with a slash/},
+	{name: 'a host with a port', configuration: createConfiguration({queues: [{...queue, host: 'h:443'}]}), expected: /without their port/},
 	{name: 'an unknown service', configuration: createConfiguration({queues: [{...queue, service: 'x'}]}), expected: /unknown service "x"/},
 	{name: 'a queue of the spare pool', configuration: createConfiguration({queues: [{...queue, service: 'reserve'}]}), expected: /spare pool/},
 	{
--- a/packages/core/src/jobs/configuration/check-configuration.ts
+++ b/packages/core/src/jobs/configuration/check-configuration.ts
@@ -1,16 +1,18 @@
 import {type Configuration, type Organisation, type Queue} from '../state/configuration-schema.js';
+import {type WaveRequest} from '../state/instance.js';
 import {type Job} from '../state/job-schema.js';
 import {type ListedWorker} from '../state/scheduler.js';
+import {checkDisruptionBudgets} from './check-disruption-budgets.js';
 import {type Finding} from './finding.js';
 
 /** What the store holds at present. Checks that need it are left out without it. */
-type Surroundings = {readonly workers?: readonly ListedWorker[]; readonly jobs?: readonly Job[]};
+type Surroundings = {readonly workers?: readonly ListedWorker[]; readonly jobs?: readonly Job[]; readonly waves?: readonly WaveRequest[]};
 
 /**
  * Checks a valid configuration for entries that can never match and for limits that contradict each other.
  *
  * @param configuration - the configuration
- * @param surroundings - workers that the store lists, and unfinished jobs
+ * @param surroundings - workers that the store lists, unfinished jobs, and waves of upkeep that are not completed
  * @returns what was found, in the order of the configuration's lists
  * @example
  * checkConfiguration(configuration, {workers, jobs});
@@ -21,6 +23,9 @@
 		...checkOrganisations(configuration, surroundings.jobs ?? []),
 		...checkPools(configuration, surroundings.workers),
 		...checkJobs(configuration, surroundings),
+		...checkDisruptionBudgets(configuration, {
+			workers: [], jobs: [], waves: [], ...surroundings,
+		}),
 	];
 }
 
@@ -40,6 +45,14 @@
 			findings.push({level: 'error', path: ['queues', position, 'pathPrefix'], problem: `queue ${JSON.stringify(queue.name)} can never match: queue ${JSON.stringify(other.name)} has the same host and path prefix`});
 		}
 
+		if (queue.pathPrefix !== '' && !queue.pathPrefix.startsWith('/')) {
+			findings.push({level: 'error', path: ['queues', position, 'pathPrefix'], problem: `queue ${JSON.stringify(queue.name)} can never match: its path prefix does not start with a slash`});
+		}
+
+		if (/:\d+$/.test(queue.host)) {
+			findings.push({level: 'error', path: ['queues', position, 'host'], problem: `queue ${JSON.stringify(queue.name)} can never match: hosts are compared without their port`});
+		}
+
 		if (pool === undefined) {
 			findings.push({level: 'error', path: ['queues', position, 'service'], problem: `queue ${JSON.stringify(queue.name)} belongs to the unknown service ${JSON.stringify(queue.service)}, so its jobs can never start`});
 		}
--- a/packages/core/src/jobs/configuration/compare-configurations.ts
+++ b/packages/core/src/jobs/configuration/compare-configurations.ts
@@ -1,17 +1,22 @@
 import {isDeepStrictEqual} from 'node:util';
-import {type Configuration} from '../state/configuration-schema.js';
+import {type Configuration, type Queue} from '../state/configuration-schema.js';
 import {type Job} from '../state/job-schema.js';
 
 /** Lists of a configuration whose entries have names. */
 type ListName = 'queues' | 'pools' | 'organisations';
 
-/** A difference between two configurations. `unfinishedJobs` is the number of unfinished jobs that it affects. */
+/** A difference between two configurations, and whom it affects. `configuration` stands for the values that are in no list. */
 export type Difference = {
-	readonly list: ListName;
+	readonly list: ListName | 'configuration';
 	readonly name: string;
 	readonly change: 'added' | 'removed' | 'changed';
 	/** Changed fields with their values before and after. API keys are secrets, so only their numbers are given. */
 	readonly fields: Readonly<Record<string, {readonly before: unknown; readonly after: unknown}>>;
+	/** Names of the queues that it affects. */
+	readonly queues: readonly string[];
+	/** Names of the organisations with unfinished jobs that it affects, and of the one that it is about. */
+	readonly organisations: readonly string[];
+	/** Number of unfinished jobs that it affects. */
 	readonly unfinishedJobs: number;
 };
 
@@ -49,14 +54,32 @@
 				name,
 				change: earlier.has(name) ? (later.has(name) ? 'changed' : 'removed') : 'added',
 				fields,
-				unfinishedJobs: jobs.filter(job => affected[list](job) === name).length,
+				...listAffected({list, name}, {jobs, queues: [...before.queues, ...after.queues]}),
 			});
 		}
 	}
 
+	if (before.maximumBodyBytes !== after.maximumBodyBytes) {
+		differences.push({
+			list: 'configuration', name: 'maximumBodyBytes', change: 'changed', fields: {maximumBodyBytes: {before: before.maximumBodyBytes, after: after.maximumBodyBytes}}, queues: after.queues.map(({name}) => name), organisations: [], unfinishedJobs: 0,
+		});
+	}
+
 	return differences;
 }
 
+/** Lists whom a difference affects: the queues of a changed pool, and the queues and organisations of the unfinished jobs. */
+function listAffected({list, name}: {list: ListName; name: string}, {jobs, queues}: {jobs: readonly Job[]; queues: readonly Queue[]}) {
+	const affectedJobs = jobs.filter(job => affected[list](job) === name);
+	const ofConfiguration = queues.filter(queue => (list === 'queues' && queue.name === name) || (list === 'pools' && queue.service === name)).map(queue => queue.name);
+	const organisations = [...list === 'organisations' ? [name] : [], ...affectedJobs.map(({organisation}) => organisation).filter(organisation => organisation !== '')];
+	return {
+		queues: [...new Set([...ofConfiguration, ...affectedJobs.map(({queue}) => queue)])].toSorted(),
+		organisations: [...new Set(organisations)].toSorted(),
+		unfinishedJobs: affectedJobs.length,
+	};
+}
+
 function compareFields(before: NamedEntry | undefined, after: NamedEntry | undefined): Difference['fields'] {
 	const earlier = new Map<string, unknown>(Object.entries(before ?? {}));
 	const later = new Map<string, unknown>(Object.entries(after ?? {}));
