--- a/packages/measure/src/experiment.ts
+++ b/packages/measure/src/experiment.ts
@@ -24,6 +24,8 @@
 	readonly baselines: readonly Baseline[];
 	/** Further figures, which no target applies to. */
 	readonly details?: unknown;
+	/** SVG document with a plot of the result. */
+	readonly plot?: string;
 };
 
 export type Experiment = {
--- a/packages/measure/src/experiments.ts
+++ b/packages/measure/src/experiments.ts
@@ -12,6 +12,7 @@
 import {maintenanceFaults} from './experiments/maintenance-faults.js';
 import {neverReverts} from './experiments/never-reverts.js';
 import {plannerCost} from './experiments/planner-cost.js';
+import {poolBound} from './experiments/pool-bound.js';
 import {requestPath} from './experiments/request-path.js';
 import {retryAmplification} from './experiments/retry-amplification.js';
 import {rollingRestart} from './experiments/rolling-restart.js';
@@ -31,6 +32,7 @@
 	'maintenance-faults': maintenanceFaults,
 	'never-reverts': neverReverts,
 	'planner-cost': plannerCost,
+	'pool-bound': poolBound,
 	'request-path': requestPath,
 	'retry-amplification': retryAmplification,
 	'rolling-restart': rollingRestart,
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,7 +1,9 @@
 /**
- * `npm run measure`: runs one experiment and prints its measures, targets and baselines.
+ * `npm run measure`: runs one experiment and prints its measures, targets and baselines. `--plot FILE` writes the plot of an
+ * experiment that has one.
  */
 import {execFileSync} from 'node:child_process';
+import {writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {experiments} from './experiments.js';
@@ -18,7 +20,9 @@
 
 const {values, positionals} = parseArgs({
 	allowPositionals: true,
-	options: {list: {type: 'boolean', default: false}, json: {type: 'boolean', default: false}, seed: {type: 'string', default: '1'}},
+	options: {
+		list: {type: 'boolean', default: false}, json: {type: 'boolean', default: false}, seed: {type: 'string', default: '1'}, plot: {type: 'string', default: ''},
+	},
 });
 
 async function runExperiment(name: string): Promise<number> {
@@ -29,7 +33,12 @@
 		return 2;
 	}
 
-	const result = await experiment.run({seed});
+	const {plot, ...result} = await experiment.run({seed});
+	if (plot !== undefined && values.plot !== '') {
+		await writeFile(values.plot, plot);
+		process.stderr.write(`Plot written to ${values.plot}\n`);
+	}
+
 	const output = {
 		name, seed, commit: readCurrentCommit(), ...result,
 	};
