--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -63,6 +63,9 @@
 		contention: new Map(),
 		meanUsage: new Map(),
 		meanUsageAt: now,
+		orderNumber: 0,
+		previousOrder: [],
+		placementOrder: [],
 		orderLogDueAt: now,
 		dirtyJobs: new Set(),
 		holdersDirty: false,
@@ -87,6 +90,7 @@
 		waves: new Map(),
 		dirtyWaves: new Set(),
 		estimates: createEstimates(),
+		views: {latest: undefined, published: '', forecasts: new Map()},
 	};
 	restoreSummary(scheduler.estimates, options.estimates, now);
 	for (const holder of holders) {
--- a/packages/core/src/jobs/state/event.ts
+++ b/packages/core/src/jobs/state/event.ts
@@ -81,7 +81,9 @@
 	| {readonly type: 'move-answered'; readonly instance: string; readonly pool: string; readonly outcome: 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered'}
 	/** The admission record that came with a summary is stored, or may not be. */
 	| {readonly type: 'admission-published'; readonly isEmpty: boolean; readonly stored: boolean}
-	| {readonly type: 'wave-published'; readonly wave: number; readonly state: 'running' | 'completed'; readonly stored: boolean};
+	| {readonly type: 'wave-published'; readonly wave: number; readonly state: 'running' | 'completed'; readonly stored: boolean}
+	/** The store did not take the view of the schedule. */
+	| {readonly type: 'view-not-stored'};
 
 /** Monotonic local time and wall-clock time at which an event is handled, both in milliseconds. */
 export type EventTime = {readonly now: number; readonly timeOfDay: number};
--- a/packages/core/src/jobs/state/publish-summary.ts
+++ b/packages/core/src/jobs/state/publish-summary.ts
@@ -1,11 +1,14 @@
 import {updateAdmission} from '../admission/update-admission.js';
 import {logPoolLoads} from '../pools/log-pool-loads.js';
+import {encodeView} from '../views/encode-view.js';
+import {measureView} from '../views/measure-view.js';
 import {summaryIntervalMs} from './constants.js';
 import {type QueueSummary} from './effect.js';
 import {type ReducerContext} from './reducer-context.js';
 
 /**
- * Publishes the number of jobs of each queue that have not started, at intervals, and the admission record if it changes.
+ * Publishes the number of jobs of each queue that have not started, at intervals, with the admission record and the view of
+ * the schedule if these change. All are written in one store call.
  *
  * @param context - the reducer context; its state is changed and an effect may be added
  * @example
@@ -25,6 +28,12 @@
 		}
 	}
 
-	context.effects.push({type: 'publish-summary', queues, admission: updateAdmission(context)});
+	const latest = measureView(scheduler, {queues, now});
+	const view = encodeView(latest);
+	context.effects.push({
+		type: 'publish-summary', queues, admission: updateAdmission(context), ...(view !== scheduler.views.published && {view}),
+	});
+	scheduler.views.latest = latest;
+	scheduler.views.published = view;
 	logPoolLoads(context);
 }
--- a/packages/daemon/src/jobs/keys.ts
+++ b/packages/daemon/src/jobs/keys.ts
@@ -43,6 +43,9 @@
 /** Admission record: the overloaded queues and the waits of new jobs. It is never deleted, so that its revision never takes the same value twice. */
 export const admissionKey = `${root}admission`;
 
+/** View of the schedule for operators; written together with the summary, and only when it has changed. */
+export const viewKey = `${root}view`;
+
 /** Prefix of the lists of instances whose maintenance is finished, one for each wave; the waves themselves are stored by the operators. */
 export const wavesPrefix = `${root}waves/`;
 
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -10,7 +10,7 @@
 import {createPayloadKey} from './create-payload-key.js';
 import {createProgressKey} from './create-progress-key.js';
 import {
-	admissionKey, holdersKey, commitGuardKey, estimatesKey, jobParts, ownerKey, summaryKey, wavesPrefix,
+	admissionKey, holdersKey, commitGuardKey, estimatesKey, jobParts, ownerKey, summaryKey, viewKey, wavesPrefix,
 } from './keys.js';
 import {type OwnershipGrant} from './owner-election.js';
 import {type PayloadCache} from './payload-cache.js';
@@ -96,13 +96,21 @@
 		finishEndedJobs(writes, context);
 		context.dispatch({type: 'committed', number});
 	},
-	async 'publish-summary'({queues, admission}, context) {
+	async 'publish-summary'({queues, admission, view}, context) {
 		const operations: Operation[] = [{type: 'put', key: summaryKey, value: JSON.stringify({publishedAtMs: Date.now(), queues})}];
 		if (admission !== undefined) {
 			operations.push({type: 'put', key: admissionKey, value: JSON.stringify({...admission, fence: context.grant.fencingToken})});
 		}
 
+		if (view !== undefined) {
+			operations.push({type: 'put', key: viewKey, value: view});
+		}
+
 		const stored = await writeAsOwner(operations, context);
+		if (view !== undefined && !stored) {
+			context.dispatch({type: 'view-not-stored'});
+		}
+
 		if (admission !== undefined) {
 			const isEmpty = admission.queues.length === 0;
 			context.logger.log('admission-published', {queues: admission.queues.map(({name}) => name), organisations: countOrganisations(admission), stored});
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -36,6 +36,8 @@
 	readonly checker: InvariantChecker;
 	readonly workers = new Map<string, WorkerModel>();
 	readonly log: Array<{at: number; event: string; fields: Readonly<Record<string, unknown>>}> = [];
+	/** Views of the schedule, as the owners have published them. */
+	readonly publishedViews: Array<{at: number; view: string}> = [];
 	readonly waveStates = new Map<number, 'running' | 'completed'>();
 	/** Workers that receive no calls, send no answers and write no heartbeats. */
 	readonly silentWorkers = new Set<string>();
@@ -112,7 +114,11 @@
 				});
 			});
 		},
-		'publish-summary': ({admission}, owner) => {
+		'publish-summary': ({admission, view}, owner) => {
+			if (view !== undefined) {
+				this.publishedViews.push({at: this.now, view});
+			}
+
 			if (admission !== undefined) {
 				this.admissionWrites++;
 				this.#network.deliver(() => {
