Learn the ratio of far to near run time

Cause: the ratio by which a task is slower outside the rack of its data (`far_x`) was neither read nor learned. Nothing uses the ratio yet.

--- a/packages/core/src/jobs/estimates/estimates.ts
+++ b/packages/core/src/jobs/estimates/estimates.ts
@@ -42,6 +42,8 @@
 	readonly sketches: Map<string, Sketch>;
 	/** Largest number of sketches; 0 to learn nothing. */
 	maximumSketches: number;
+	/** Ratio of far to near run time in the settings; the prior of the learned one. 1 if distance does not matter. */
+	farRatio: number;
 	/** Changes whenever an estimate may change. */
 	version: number;
 	/** Absolute errors of the estimates of steps before any of their tasks had ended, in log space. */
--- a/packages/core/src/jobs/estimates/record-run-time.ts
+++ b/packages/core/src/jobs/estimates/record-run-time.ts
@@ -4,6 +4,7 @@
 import {getStepRunTimes} from './get-step-run-times.js';
 import {isNearData} from './is-near-data.js';
 import {learnStep} from './learn-step.js';
+import {recordFarRun} from './record-far-run.js';
 
 /** Run times that are kept of a step; bounds the memory of large steps and of jobs with many occurrences. */
 const maximumRunTimes = 64;
@@ -12,8 +13,8 @@
 const maximumUncertainty = 0.15;
 
 /**
- * Records the run time of a task that is done, unless it is unknown, uncertain, or distorted by a slow worker or by
- * distance from its data. Must be called while the task is still assigned.
+ * Records the run time of a task that is done, unless it is unknown, uncertain, or distorted by a slow worker. Far from its
+ * data, it is compared with those near the data only. Must be called while the task is still assigned.
  *
  * @param context - the reducer context; its state is changed
  * @param task - the task
@@ -27,7 +28,7 @@
 	const {measurement, group} = task;
 	const runTimes = getStepRunTimes(group.job, group.step);
 	runTimes.projected.delete(task);
-	if (measurement === undefined || task.state === 'stopping' || isSlow || !isNearData(task, worker)) {
+	if (measurement === undefined || task.state === 'stopping' || isSlow) {
 		return;
 	}
 
@@ -36,7 +37,13 @@
 		return;
 	}
 
-	runTimes.ended.push({worker: worker.id, value: Math.log(elapsedMs - (uncertaintyMs / 2))});
+	const value = Math.log(elapsedMs - (uncertaintyMs / 2));
+	if (!isNearData(task, worker)) {
+		recordFarRun(scheduler, task, value);
+		return;
+	}
+
+	runTimes.ended.push({worker: worker.id, value});
 	if (runTimes.ended.length > maximumRunTimes) {
 		runTimes.ended.shift();
 	}
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -24,6 +24,8 @@
 	stopMs?: number;
 	/** How long before its due time an occurrence may start. */
 	earlyMs?: number;
+	/** How many times as long a task runs far from its data. */
+	farRatio?: number | undefined;
 };
 
 /**
@@ -83,7 +85,7 @@
 		movesDueAt: 0,
 		waves: new Map(),
 		dirtyWaves: new Set(),
-		estimates: createEstimates(),
+		estimates: createEstimates(options.farRatio === undefined ? {} : {farRatio: options.farRatio}),
 	};
 	restoreSummary(scheduler.estimates, options.estimates, now);
 	for (const holder of holders) {
--- a/packages/daemon/src/jobs/process-settings.ts
+++ b/packages/daemon/src/jobs/process-settings.ts
@@ -31,6 +31,8 @@
 		keyWithdrawalMs: z.number(),
 		/** Time within which a new configuration must be in force in every process. */
 		configurationMs: z.number(),
+		/** How many times as long as near its data a task runs far from it; learned if absent. */
+		farRatio: z.number().min(1).optional(),
 	}),
 });
 
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -203,6 +203,7 @@
 			longestLeaseMs: bounds.longestLeaseMs,
 			stopMs: bounds.stopMs,
 			earlyMs: bounds.earlyMs,
+			farRatio: bounds.farRatio,
 		});
 	}
 
