Take the rack with the least capacity that fits for steps with sameRack

Cause: a gang took the first rack in the order of the workers that had room, which broke up empty racks; single tasks of such a step took the fullest worker, whatever room its rack had for the other tasks. Change: racks are tried from the least to the most free cores, that of the data first, and must have room for all tasks of the step. Measured: tests of the choice of workers (8 new) and of the kinds of tasks: passed. Other steps take the same path.

--- a/packages/core/src/jobs/placement/choose-workers.test.ts
+++ b/packages/core/src/jobs/placement/choose-workers.test.ts
@@ -76,3 +76,65 @@
 		assert.equal(placeLongRunning(createWorkers(24, 12), 0).size, 24);
 	});
 });
+
+/** Workers of 16 cores, two to a rack, with the given free cores. */
+function createRacks(freeCores: readonly number[]): Worker[] {
+	const workers = createWorkers(freeCores.length, 2);
+	for (const [position, worker] of workers.entries()) {
+		worker.used = {...worker.used, cpuMillis: capacity.cpuMillis - (1000 * (freeCores[position] ?? 0))};
+	}
+
+	return workers;
+}
+
+/** Racks that are chosen for a step of four tasks of four cores. */
+function chooseRacks(workers: readonly Worker[], changes: {gang: boolean; sameRack?: boolean; affinity?: string}): string[] {
+	const job = createActiveJob(jobSchema.parse({
+		id: 'a', queue: 'q', service: 'planner', organisation: 'north', acceptedAtMs: 0, steps: [{
+			count: 4, cpuMillis: 4000, sameRack: true, ...changes,
+		}],
+	}), {acceptedAt: 0, recovered: false});
+	const definition = job.definition.steps[0];
+	assert.ok(definition);
+	const tasks = Array.from({length: 4}, (_, index) => ({worker: undefined as Worker | undefined, index}));
+	const groups = (changes.gang ? [tasks] : tasks.map(task => [task])).map(members => ({
+		job, occurrence: 0, step: 0, definition, failedWorkers: new Set<string>(), tasks: members,
+	}));
+	const step = {
+		occurrence: 0, step: 0, groups, remaining: groups.length, tickets: undefined,
+	} as unknown as StepState;
+	const racks = new Set<string>();
+	for (const group of step.groups) {
+		const chosen = chooseWorkers(group, step, {candidates: workers, now: 0, estimates: createEstimates()}) ?? [];
+		for (const [position, worker] of chosen.entries()) {
+			const task = group.tasks[position];
+			assert.ok(task);
+			task.worker = worker;
+			worker.used = {...worker.used, cpuMillis: worker.used.cpuMillis + definition.cpuMillis};
+			racks.add(worker.listing?.rack ?? '');
+		}
+	}
+
+	return [...racks];
+}
+
+describe('racks of steps with sameRack', () => {
+	for (const gang of [true, false]) {
+		const name = gang ? 'a gang' : 'single tasks';
+		it(`guards against fragmentation by ${name}: takes the rack with the least capacity that fits`, () => {
+			assert.deepEqual(chooseRacks(createRacks([16, 16, 8, 8, 4, 8]), {gang}), ['r1']);
+		});
+
+		it(`guards against ${name} on several racks while one fits, where the fullest worker is on another rack`, () => {
+			assert.deepEqual(chooseRacks(createRacks([4, 8, 16, 16]), {gang}), ['r1']);
+		});
+
+		it(`prefers the rack of the data for ${name}`, () => {
+			assert.deepEqual(chooseRacks(createRacks([8, 8, 16, 16]), {gang, affinity: 'r1'}), ['r1']);
+		});
+
+		it(`guards against a wait of ${name} that fit on no rack`, () => {
+			assert.equal(chooseRacks(createRacks([8, 4, 8, 4]), {gang}).length, 2);
+		});
+	}
+});
--- a/packages/core/src/jobs/placement/choose-workers.ts
+++ b/packages/core/src/jobs/placement/choose-workers.ts
@@ -4,8 +4,10 @@
 import {staleWorkerMs} from '../state/constants.js';
 import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
 import {addResources} from './add-resources.js';
+import {findPreferredRack} from './find-preferred-rack.js';
 import {fitsInto} from './fits-into.js';
 import {getReservedResources} from './get-reserved-resources.js';
+import {satisfiesAntiAffinity} from './satisfies-anti-affinity.js';
 
 /**
  * Chooses a worker for each task of a group. Prefers the rack that holds the data, or one rack for all tasks, where the
@@ -34,26 +36,38 @@
 }
 
 function chooseAmong(group: TaskGroup, stepState: StepState, workers: readonly Worker[]): Worker[] | undefined {
-	if (group.tasks.length === 1) {
-		const chosen = chooseWorker(group, stepState, workers, []);
-		return chosen === undefined ? undefined : [chosen];
-	}
-
-	if (group.definition.sameRack) {
-		for (const rack of new Set(workers.map(({listing}) => listing?.rack))) {
-			const chosen = chooseForGang(group, stepState, workers.filter(({listing}) => listing?.rack === rack));
+	const {definition: {sameRack, affinity}, tasks: {length}} = group;
+	// The first task of a step decides on the rack, which should have room for the others.
+	const count = sameRack && stepState.groups.every(({tasks}) => tasks.every(({worker}) => worker === undefined)) ? stepState.remaining * length : length;
+	if (sameRack && count > 1) {
+		for (const onRack of listRacks(workers, affinity)) {
+			const chosen = chooseTogether(group, stepState, {workers: onRack, count});
 			if (chosen !== undefined) {
-				return chosen;
+				return chosen.slice(0, length);
 			}
 		}
 	}
 
-	return chooseForGang(group, stepState, workers);
+	return chooseTogether(group, stepState, {workers, count: length});
+}
+
+/** Groups workers by rack: that of the data first, then those with the least free capacity, so that large gangs find room later. */
+function listRacks(workers: readonly Worker[], affinity: string): Worker[][] {
+	const racks = new Map<string, {onRack: Worker[]; free: number}>();
+	for (const worker of workers) {
+		const {rack = '', capacity = worker.used} = worker.listing ?? {};
+		const known = racks.get(rack) ?? {onRack: [], free: rack === affinity ? Number.NEGATIVE_INFINITY : 0};
+		known.onRack.push(worker);
+		known.free += capacity.cpuMillis - worker.used.cpuMillis;
+		racks.set(rack, known);
+	}
+
+	return [...racks.values()].toSorted((left, right) => left.free - right.free).map(({onRack}) => onRack);
 }
 
-function chooseForGang(group: TaskGroup, stepState: StepState, workers: readonly Worker[]): Worker[] | undefined {
+function chooseTogether(group: TaskGroup, stepState: StepState, {workers, count}: {workers: readonly Worker[]; count: number}): Worker[] | undefined {
 	const chosen: Worker[] = [];
-	while (chosen.length < group.tasks.length) {
+	while (chosen.length < count) {
 		const worker = chooseWorker(group, stepState, workers, chosen);
 		if (worker === undefined) {
 			return undefined;
@@ -86,7 +100,7 @@
 		}
 
 		const free = computeFreeResources(worker, need, taken);
-		if (!fitsInto(need, free) || !satisfiesAntiAffinity(group, stepState, worker, taken)) {
+		if (!fitsInto(need, free) || !satisfiesAntiAffinity(group, stepState, {worker, taken})) {
 			continue;
 		}
 
@@ -123,41 +137,3 @@
 	const free = addResources(worker.listing?.capacity ?? worker.used, worker.used, -1);
 	return addResources(free, need, -taken.filter(other => other === worker).length);
 }
-
-function satisfiesAntiAffinity(group: TaskGroup, stepState: StepState, worker: Worker, taken: readonly Worker[]): boolean {
-	const {antiAffinity} = group.definition;
-	if (antiAffinity === 0) {
-		return true;
-	}
-
-	let count = taken.filter(other => other === worker).length;
-	for (const task of worker.tasks) {
-		if (task.group.job === group.job && task.group.occurrence === stepState.occurrence && task.group.step === stepState.step) {
-			count++;
-		}
-	}
-
-	return count < antiAffinity;
-}
-
-function findPreferredRack(group: TaskGroup, stepState: StepState, taken: readonly Worker[]): string {
-	const {affinity, sameRack} = group.definition;
-	if (!sameRack) {
-		return affinity;
-	}
-
-	const [first] = taken;
-	if (first?.listing !== undefined) {
-		return first.listing.rack;
-	}
-
-	for (const {tasks} of stepState.groups) {
-		for (const {worker} of tasks) {
-			if (worker?.listing !== undefined) {
-				return worker.listing.rack;
-			}
-		}
-	}
-
-	return affinity;
-}
