Wait for capacity near the data

Cause: a task whose rack was full ran far from its data at once, and took up to 3 times as long, even if room near it was about to become free. Change: a task waits while the expected wait is shorter than the additional run time far from the data, for at most 1.5 s in all (1 s while nothing of its job runs) and never beyond the objective. Log event 617.

--- a/packages/core/src/jobs/placement/place-group.ts
+++ b/packages/core/src/jobs/placement/place-group.ts
@@ -7,36 +7,54 @@
 import {getReservedResources} from './get-reserved-resources.js';
 import {chooseWorkers} from './choose-workers.js';
 import {addResources} from './add-resources.js';
+import {type RackForecasts} from './rack-forecast.js';
+import {waitsForData} from './waits-for-data.js';
+
+/** The tasks were started, wait for capacity near their data, or do not all fit. */
+export type Placement = 'placed' | 'waiting' | 'unplaced';
 
 /**
  * Places all tasks of a group on workers with free capacity and starts them.
  *
  * @param context - the reducer context; its state is changed and effects are added
  * @param group - the task group; its tasks must be unassigned
- * @param options - the step of the group, and the workers to choose from
- * @returns false if not all of its tasks fit
+ * @param options - the step of the group, the workers to choose from, and the forecasts of the racks in this round, which may be changed; without these, no task waits for its data
+ * @returns what became of them
  * @example
- * placeGroup(context, group, {step, workers});
+ * placeGroup(context, group, {step, workers}) === 'placed';
  */
-export function placeGroup(context: ReducerContext, group: TaskGroup, options: {step: StepState; workers: readonly Worker[]}): boolean {
+export function placeGroup(context: ReducerContext, group: TaskGroup, options: {step: StepState; workers: readonly Worker[]; forecasts?: RackForecasts}): Placement {
 	const {scheduler} = context;
-	const {step, workers} = options;
+	const {step, workers, forecasts} = options;
 	const need = getReservedResources(group.definition);
 	const total = addResources({cpuMillis: 0, memoryMb: 0, accelerators: 0}, need, group.tasks.length);
 	if (!isWithinLimit(scheduler, group.job, total)) {
-		return false;
+		return 'unplaced';
+	}
+
+	const {lastWait} = forecasts ?? {};
+	if (forecasts !== undefined && lastWait?.step === step && waitsForData(context, group, {
+		step, workers, chosen: lastWait.chosen, forecasts,
+	})) {
+		return 'waiting';
 	}
 
 	const chosen = chooseWorkers(group, step, {candidates: workers, now: context.now, estimates: scheduler.estimates});
 	if (chosen === undefined) {
-		return false;
+		return 'unplaced';
+	}
+
+	if (forecasts !== undefined && waitsForData(context, group, {
+		step, workers, chosen, forecasts,
+	})) {
+		return 'waiting';
 	}
 
 	const run = chooseRunNumber(scheduler, group);
 	for (const [position, task] of group.tasks.entries()) {
 		const worker = chosen[position];
 		if (worker === undefined) {
-			return false;
+			return 'unplaced';
 		}
 
 		assignTask(scheduler, task, {worker, run, state: 'starting'});
@@ -44,5 +62,5 @@
 		sendStart(context, task);
 	}
 
-	return true;
+	return 'placed';
 }
--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -138,7 +138,7 @@
 }
 
 function start(context: ReducerContext, {group, step}: Suspect, workers: readonly Worker[]): boolean {
-	if (workers.length === 0 || !placeGroup(context, group, {step, workers})) {
+	if (workers.length === 0 || placeGroup(context, group, {step, workers}) !== 'placed') {
 		return false;
 	}
 
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -16,6 +16,8 @@
 import {reserveWorker} from './reserve-worker.js';
 import {type OrderBudget, placeIsolatedGroups} from './place-isolated-groups.js';
 import {placeGroup} from './place-group.js';
+import {type RackForecasts} from './rack-forecast.js';
+import {updateDataWait} from './update-data-wait.js';
 import {listSchedulableWorkers} from './list-schedulable-workers.js';
 import {ensureTickets} from './ensure-tickets.js';
 
@@ -25,6 +27,8 @@
 /** Stands for the service of a worker that the store no longer lists; it may run tasks of any service. */
 const unknownService = '';
 
+type RoundOptions = {workers: readonly Worker[]; budget: OrderBudget; forecasts: RackForecasts};
+
 const noUnreconciledUsage = new Map<string, Resources>();
 
 /**
@@ -56,6 +60,7 @@
 	}
 
 	const schedulable = listSchedulableWorkers(scheduler, now);
+	const forecasts: RackForecasts = {byRack: new Map(), lastWait: undefined};
 	const failures = new Map<string, number>();
 	const limitFailures = new Map<string, number>();
 	const ordered = orderJobs(scheduler, waiting, now);
@@ -70,7 +75,7 @@
 		const service = job.outlook?.service ?? findQueuePolicy(scheduler, job).service;
 		const workers = schedulable.get(service) ?? [];
 		if (workers.length > 0 && (failures.get(service) ?? 0) < maximumPlacementFailures && (limitFailures.get(organisation) ?? 0) < maximumPlacementFailures) {
-			const unplaced = placeJob(context, job, {workers, budget});
+			const unplaced = placeJob(context, job, {workers, budget, forecasts});
 			for (const group of unplaced) {
 				// An organisation at its upper limit must not keep the others from the service.
 				if (isWithinLimit(scheduler, job, getReservedResources(group.definition))) {
@@ -117,13 +122,15 @@
 }
 
 /** Places as many tasks of a job as possible and returns the first group of each step that does not fit. */
-function placeJob(context: ReducerContext, job: ActiveJob, options: {workers: readonly Worker[]; budget: OrderBudget}): TaskGroup[] {
-	const {workers, budget} = options;
+function placeJob(context: ReducerContext, job: ActiveJob, options: RoundOptions): TaskGroup[] {
+	const {workers} = options;
 	const unplaced: TaskGroup[] = [];
+	let isWaiting = false;
 	for (const steps of job.occurrences.values()) {
 		for (const step of steps) {
 			if (isStepReady(steps, step) && ensureTickets(context, step, workers)) {
-				const first = placeStep(context, step, {workers, budget});
+				const {first, waiting} = placeStep(context, step, options);
+				isWaiting ||= waiting;
 				if (first !== undefined) {
 					unplaced.push(first);
 				}
@@ -131,15 +138,19 @@
 		}
 	}
 
+	updateDataWait(context, job, {isWaiting, isUnplaced: unplaced.length > 0});
+
 	return unplaced;
 }
 
-function placeStep(context: ReducerContext, step: StepState, options: {workers: readonly Worker[]; budget: OrderBudget}): TaskGroup | undefined {
-	const {workers, budget} = options;
+/** Places as many tasks of a step as possible. Returns the first group that does not fit, and whether groups wait for capacity near their data. */
+function placeStep(context: ReducerContext, step: StepState, options: RoundOptions): {first: TaskGroup | undefined; waiting: boolean} {
+	const {workers, budget, forecasts} = options;
 	const placed: Task[] = [];
-	let unplaced: TaskGroup | undefined;
+	let first: TaskGroup | undefined;
+	let waiting = false;
 	if (isHeldBack(step)) {
-		return undefined;
+		return {first, waiting};
 	}
 
 	for (const group of step.groups) {
@@ -151,17 +162,23 @@
 			continue;
 		}
 
-		if (!placeGroup(context, group, {step, workers})) {
-			unplaced = group;
+		const placement = placeGroup(context, group, {step, workers, forecasts});
+		if (placement === 'unplaced') {
+			first = group;
 			break;
 		}
 
+		if (placement === 'waiting') {
+			waiting = true;
+			continue;
+		}
+
 		placed.push(...group.tasks);
 		budget.orders -= group.tasks.length;
 	}
 
 	logPlacement(context, step, placed);
-	return unplaced;
+	return {first, waiting};
 }
 
 /** The tasks of a step are identical, so while one of them may crash its worker, the others wait. Long-running tasks have to be up soon. */
--- a/packages/core/src/jobs/state/create-active-job.ts
+++ b/packages/core/src/jobs/state/create-active-job.ts
@@ -25,5 +25,6 @@
 		end: undefined,
 		changes: 0,
 		outlook: undefined,
+		dataWait: undefined,
 	};
 }
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -8,6 +8,7 @@
 import {type PoolPolicy} from '../pools/pool-policy.js';
 import {type OrderWindow} from '../runs/order-window.js';
 import {type JobOutlook} from '../order/job-outlook.js';
+import {type DataWait} from '../placement/data-wait.js';
 import {type ServiceShares} from '../order/service-shares.js';
 import {type Configuration, type Resources} from './configuration-schema.js';
 import {
@@ -219,6 +220,8 @@
 	changes: number;
 	/** The last measured outlook. */
 	outlook: JobOutlook | undefined;
+	/** Wait for capacity near its data; undefined if it has not waited. */
+	dataWait: DataWait | undefined;
 };
 
 /** Demand on a pool in thousandths of a core, of jobs that have just arrived and of running long-running tasks, whether or not the pool has room for it. */
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -168,6 +168,9 @@
 	'task-ended': {
 		number: 616, level: 'info', text: 'A task run ended without completing the task', action: 'None, unless one worker repeats it.',
 	},
+	'data-wait-ended': {
+		number: 617, level: 'info', text: 'Tasks of a job no longer wait for capacity near their data. `ratio` is the learned ratio of far to near run time', action: 'None.',
+	},
 	'start-refused': {
 		number: 620, level: 'info', text: 'A worker did not start a task', action: 'None, unless one worker repeats it.',
 	},
