--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -146,7 +146,7 @@
 }
 
 function start(context: ReducerContext, {group, step}: Suspect, workers: readonly Worker[]): boolean {
-	if (workers.length === 0 || !placeGroup(context, group, {step, workers})) {
+	if (workers.length === 0 || placeGroup(context, group, {step, workers}) !== 'placed') {
 		return false;
 	}
 
