Add the fault soak of the bundled program

Cause: no test ran the real program as several processes under faults in its connections, its processes and the store. Change: packages/soak draws a schedule of faults from a seed, runs the bundle, the stand-ins and a proxy between them as processes on loopback, and checks what they saw. The stand-ins of store, workers and instances get entry points and the hooks that these need. The settings may name the address of the metrics, since processes of one machine can't all serve them on one port.

--- /dev/null
+++ b/packages/soak/src/check-answers.ts
@@ -0,0 +1,98 @@
+import {type FleetEvent} from '@rosemaryquay/testing/jobs/fleet-event';
+import {type Violation} from './violation.js';
+
+type Answer = Extract<FleetEvent, {type: 'answered'}>;
+
+/** Time within which a withdrawn key must stop working. */
+const keyWithdrawalMs = 5000;
+
+const finalStates = new Set(['completed', 'failed', 'cancelled']);
+
+/** Statuses that say that a submission was not accepted and never runs. */
+const refusalStatuses = new Set([429, 503]);
+
+/**
+ * Checks the answers to callers: accepted jobs end as completed (or cancelled on request), refused jobs never run,
+ * and withdrawn keys stop working.
+ *
+ * @param events - all events of a run, in the order of their time
+ * @returns the violations
+ * @example
+ * checkAnswers(events);
+ */
+export function checkAnswers(events: readonly FleetEvent[]): Violation[] {
+	const endedAt = events.at(-1)?.at ?? 0;
+	const violations: Violation[] = [];
+	const answers = new Map<string, Answer[]>();
+	const startedJobs = new Map<string, number>();
+	for (const event of events) {
+		if (event.type === 'started') {
+			const [job = ''] = event.task.split('.');
+			startedJobs.set(job, startedJobs.get(job) ?? event.at);
+		} else if (event.type === 'answered') {
+			const calls = answers.get(event.job) ?? [];
+			calls.push(event);
+			answers.set(event.job, calls);
+		}
+	}
+
+	for (const [job, calls] of answers) {
+		violations.push(...checkJob(job, calls, {startedAt: startedJobs.get(job), endedAt}));
+	}
+
+	return [...violations, ...checkKeys(events)];
+}
+
+function checkJob(job: string, calls: readonly Answer[], options: {startedAt: number | undefined; endedAt: number}): Violation[] {
+	const {startedAt, endedAt} = options;
+	const submissions = calls.filter(({method}) => method === 'submit');
+	if (startedAt !== undefined && submissions.every(({status}) => refusalStatuses.has(status))) {
+		return [{rule: 'refused-ran', at: startedAt, text: `${job} runs although each submission was refused: ${submissions.map(({status}) => status).join(', ')}`}];
+	}
+
+	if (!submissions.some(({status}) => status === 200)) {
+		return [];
+	}
+
+	const end = calls.find(({method, state}) => method === 'read' && finalStates.has(state));
+	if (end === undefined) {
+		const last = calls.at(-1);
+		return [{rule: 'lost', at: endedAt, text: `${job} was accepted and has not ended, last answer ${last?.status ?? 0} ${last?.state ?? ''}`}];
+	}
+
+	const isAsExpected = end.state === 'completed' || (end.state === 'cancelled' && calls.some(({method}) => method === 'cancel'));
+	return isAsExpected ? [] : [{rule: 'lost', at: end.at, text: `${job} was accepted and ended as ${end.state}`}];
+}
+
+function checkKeys(events: readonly FleetEvent[]): Violation[] {
+	const withdrawnAt = new Map<string, number>();
+	const periods: Array<{readonly key: string; readonly from: number; readonly until: number}> = [];
+	for (const event of events) {
+		if (event.type !== 'key-changed') {
+			continue;
+		}
+
+		const from = withdrawnAt.get(event.key);
+		if (event.isValid && from !== undefined) {
+			periods.push({key: event.key, from, until: event.at});
+			withdrawnAt.delete(event.key);
+		} else if (!event.isValid) {
+			withdrawnAt.set(event.key, from ?? event.at);
+		}
+	}
+
+	periods.push(...[...withdrawnAt].map(([key, from]) => ({key, from, until: Number.POSITIVE_INFINITY})));
+	return events.flatMap(event => {
+		if (event.type !== 'answered' || event.status !== 200) {
+			return [];
+		}
+
+		const period = periods.find(({key, from, until}) => key === event.key && event.sentAt > from + keyWithdrawalMs && event.at < until);
+		if (period === undefined) {
+			return [];
+		}
+
+		const lateMs = event.sentAt - period.from;
+		return [{rule: 'withdrawn-key', at: event.at, text: `${event.method} of ${event.job} succeeded, sent ${lateMs} ms after ${event.key} was withdrawn`}];
+	});
+}
--- /dev/null
+++ b/packages/soak/src/find-free-ports.ts
@@ -0,0 +1,46 @@
+import {createServer} from 'node:net';
+
+/** Ports below the range from which the system draws ports of outgoing connections, so that a port stays free while its process restarts. */
+const firstPort = 21_000;
+const lastPort = 29_999;
+
+/**
+ * Finds free ports on loopback.
+ *
+ * @param count - number of ports
+ * @param options - `offset` from which to search, so that runs at the same time search in different places
+ * @returns the ports, none of which is listened on
+ * @example
+ * await findFreePorts(3, {offset: process.pid});
+ */
+export async function findFreePorts(count: number, options: {offset?: number} = {}): Promise<number[]> {
+	const {offset = 0} = options;
+	const span = lastPort - firstPort + 1;
+	const ports: number[] = [];
+	for (let position = 0; position < span && ports.length < count; position++) {
+		const port = firstPort + ((offset + position) % span);
+		if (await isFree(port)) {
+			ports.push(port);
+		}
+	}
+
+	if (ports.length < count) {
+		throw new Error(`Fewer than ${count} ports from ${firstPort} to ${lastPort} are free`);
+	}
+
+	return ports;
+}
+
+async function isFree(port: number): Promise<boolean> {
+	const server = createServer();
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
--- /dev/null
+++ b/packages/soak/src/plan-faults.ts
@@ -0,0 +1,140 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type Fault, type FaultKind, type FaultTargets} from './fault.js';
+
+/** Time before the first fault, in which the processes elect an owner. */
+const leadMs = 1500;
+
+/** Longest time from one fault, or series of faults, to the next; shorter than most faults, so that they overlap. */
+const longestGapMs = 1600;
+
+/** A series is up to four faults of one kind, so close that one begins while the program still handles the one before it. */
+const longestSeries = 4;
+const longestSeriesGapMs = 400;
+const seriesPercent = 30;
+
+/** Time after a fault in a worker's process in which it gets no other: a process that is paused can't record its own end. */
+const workerRestMs = 1500;
+
+type KindRule = {
+	/** Shortest and longest duration in milliseconds. */
+	readonly durationMs: readonly [number, number];
+	/** How often the kind is drawn relative to the others. */
+	readonly weight: number;
+	readonly hits: keyof FaultTargets | readonly string[];
+	readonly comesInSeries: boolean;
+};
+
+const kindRules: Readonly<Record<FaultKind, KindRule>> = {
+	'connection-delayed': {
+		durationMs: [500, 4000], weight: 3, hits: 'connections', comesInSeries: false,
+	},
+	'connection-reset': {
+		durationMs: [0, 0], weight: 3, hits: 'connections', comesInSeries: true,
+	},
+	// Up to the time after which the owner gives up a worker (3.4 s) and beyond it.
+	'connection-silent': {
+		durationMs: [500, 5000], weight: 3, hits: 'connections', comesInSeries: false,
+	},
+	'connection-silent-one-way': {
+		durationMs: [500, 5000], weight: 3, hits: 'connections', comesInSeries: false,
+	},
+	'process-killed': {
+		durationMs: [200, 2500], weight: 2, hits: 'processes', comesInSeries: true,
+	},
+	'process-paused': {
+		durationMs: [300, 5000], weight: 3, hits: 'processes', comesInSeries: false,
+	},
+	'process-stopped': {
+		durationMs: [500, 2500], weight: 2, hits: 'processes', comesInSeries: true,
+	},
+	'settings-reloaded': {
+		durationMs: [0, 0], weight: 1, hits: 'processes', comesInSeries: true,
+	},
+	'worker-killed': {
+		durationMs: [200, 3000], weight: 2, hits: 'workers', comesInSeries: false,
+	},
+	'worker-paused': {
+		durationMs: [300, 5000], weight: 2, hits: 'workers', comesInSeries: false,
+	},
+	'store-refuses': {
+		durationMs: [300, 4000], weight: 1, hits: ['store'], comesInSeries: false,
+	},
+	'store-refuses-writes': {
+		durationMs: [300, 4000], weight: 1, hits: ['store'], comesInSeries: false,
+	},
+	'store-silent': {
+		durationMs: [300, 4000], weight: 1, hits: ['store'], comesInSeries: false,
+	},
+	'store-loses-answers': {
+		durationMs: [200, 1500], weight: 2, hits: ['store'], comesInSeries: false,
+	},
+	'store-answers-late': {
+		durationMs: [300, 3000], weight: 1, hits: ['store'], comesInSeries: false,
+	},
+	'store-loses-history': {
+		durationMs: [0, 0], weight: 1, hits: ['store'], comesInSeries: true,
+	},
+	'configuration-changed': {
+		durationMs: [0, 0], weight: 1, hits: ['store'], comesInSeries: true,
+	},
+	// Longer than the 5 s after which a withdrawn key must not work any more.
+	'key-withdrawn': {
+		durationMs: [6500, 8000], weight: 1, hits: ['south'], comesInSeries: false,
+	},
+	'organisation-overloads': {
+		durationMs: [1000, 4000], weight: 1, hits: ['north', 'south'], comesInSeries: false,
+	},
+};
+
+/**
+ * Draws the schedule of faults of a run. It depends on its arguments alone.
+ *
+ * @param seed - seed of the random numbers
+ * @param options - duration of the run in milliseconds, at the end of which all faults are over, and what they may hit
+ * @returns the faults in the order of their beginning, numbered from 1
+ * @example
+ * planFaults(1, {durationMs: 20_000, targets: {processes: ['entry-1'], workers: ['w1'], connections: ['callers>entry-1']}});
+ */
+export function planFaults(seed: number, options: {durationMs: number; targets: FaultTargets}): Fault[] {
+	const {durationMs, targets} = options;
+	const random = xoroshiro128plus(seed);
+	const lots = (Object.entries(kindRules) as Array<[FaultKind, KindRule]>).flatMap(([kind, {weight}]) => Array.from({length: weight}, () => kind));
+	const faults: Array<Omit<Fault, 'number'>> = [];
+	const workersBusyUntil = new Map<string, number>();
+	for (let atMs = leadMs; atMs < durationMs; atMs += uniformInt(random, 0, longestGapMs)) {
+		const kind = draw(random, lots);
+		const rule = kindRules[kind];
+		const target = draw(random, typeof rule.hits === 'string' ? targets[rule.hits] : rule.hits);
+		const count = rule.comesInSeries && uniformInt(random, 1, 100) <= seriesPercent ? uniformInt(random, 2, longestSeries) : 1;
+		let beginsAt = atMs;
+		for (let position = 0; position < count; position++) {
+			const fault = {
+				kind, target, atMs: beginsAt, durationMs: uniformInt(random, ...rule.durationMs),
+			};
+			beginsAt += uniformInt(random, 0, longestSeriesGapMs);
+			const endsAt = fault.atMs + fault.durationMs;
+			if (endsAt > durationMs || (workersBusyUntil.get(target) ?? 0) > fault.atMs) {
+				continue;
+			}
+
+			faults.push(fault);
+			if (rule.hits === 'workers') {
+				workersBusyUntil.set(target, endsAt + workerRestMs);
+			}
+		}
+	}
+
+	faults.sort((a, b) => a.atMs - b.atMs);
+	return faults.map((fault, position) => ({number: position + 1, ...fault}));
+}
+
+function draw<Element>(random: RandomGenerator, elements: readonly Element[]): Element {
+	const element = elements[uniformInt(random, 0, elements.length - 1)];
+	if (element === undefined) {
+		throw new Error('There is nothing to draw from');
+	}
+
+	return element;
+}
--- /dev/null
+++ b/packages/soak/src/soak-fleet.ts
@@ -0,0 +1,193 @@
+import {mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {encodeConfiguration} from '@rosemaryquay/testing/jobs/encode-configuration-http';
+import {encodeSettings} from '@rosemaryquay/testing/jobs/encode-settings-http';
+import {type EventLog} from './event-log.js';
+import {type FaultTargets} from './fault.js';
+import {findFreePorts} from './find-free-ports.js';
+import {HelperProcess} from './helper-process.js';
+import {ProgramProcess} from './program-process.js';
+import {type ProxyCommand} from './serve-proxies.js';
+
+/** Capacity of a worker, and the upper limit of the first organisation, which is below what the workers have together. */
+const workerCpuMillis = 8000;
+const limitCpuMillis = 16_000;
+
+const portsPerProcess = 3;
+
+/** Bound on the time to shut down that the settings give to the program. */
+const shutdownSeconds = 6;
+
+const testingFolder = path.dirname(fileURLToPath(import.meta.resolve('@rosemaryquay/testing/jobs/store-http')));
+const proxiesModule = fileURLToPath(new URL('serve-proxies.js', import.meta.url));
+
+/** Organisations and their keys; the second one loses its key and gets it back. */
+export const organisations = {north: 'key-north', south: 'key-south'} as const;
+export type Organisation = keyof typeof organisations;
+
+/** All processes of a run: the program on several entry instances, the stand-ins of the platform, and the proxies between them. */
+export class SoakFleet {
+	readonly targets: FaultTargets;
+	readonly programs = new Map<string, ProgramProcess>();
+	readonly #folder: string;
+	readonly #bundle: string;
+	readonly #events: EventLog;
+	readonly #workers = new Map<string, HelperProcess>();
+	readonly #withdrawn = new Map<Organisation, number>();
+	#proxies: HelperProcess | undefined;
+	#store: HelperProcess | undefined;
+	#instances: HelperProcess | undefined;
+	#addresses: Readonly<Record<string, string>> = {};
+	#version = 0;
+
+	constructor(options: {folder: string; bundle: string; events: EventLog; processCount: number; workerCount: number}) {
+		const {folder, bundle, events, processCount, workerCount} = options;
+		this.#folder = folder;
+		this.#bundle = bundle;
+		this.#events = events;
+		const processes = Array.from({length: processCount}, (_, position) => `entry-${position + 1}`);
+		const workers = Array.from({length: workerCount}, (_, position) => `w${position + 1}`);
+		this.targets = {
+			processes,
+			workers,
+			connections: [
+				...processes.flatMap(name => [`callers>${name}`, `${name}>store`, `${name}>instances`]),
+				...workers.flatMap(worker => [`all>${worker}`, `${worker}>store`]),
+			],
+		};
+	}
+
+	async start(): Promise<void> {
+		mkdirSync(this.#folder, {recursive: true});
+		const {processes, workers, connections} = this.targets;
+		this.#proxies = new HelperProcess(proxiesModule, {argument: connections, logFile: this.#fileOf('proxies.log')});
+		this.#store = new HelperProcess(path.join(testingFolder, 'serve-store-http.js'), {argument: {}, logFile: this.#fileOf('store.log')});
+		this.#instances = new HelperProcess(path.join(testingFolder, 'serve-instances-http.js'), {argument: {}, logFile: this.#fileOf('instances.log')});
+		this.#addresses = await this.#proxies.readAddresses();
+		const [store, instances] = [await this.#store.readAddress(), await this.#instances.readAddress()];
+		for (const connection of connections) {
+			if (connection.endsWith('>store') || connection.endsWith('>instances')) {
+				this.command({type: 'set-target', connection, address: connection.endsWith('>store') ? store : instances});
+			}
+		}
+
+		this.#events.record({
+			type: 'limited', at: Date.now(), organisation: 'north', cpuMillis: limitCpuMillis,
+		});
+		await this.changeConfiguration();
+		await Promise.all(workers.map(async worker => this.startWorker(worker)));
+		const ports = await findFreePorts(processes.length * portsPerProcess, {offset: process.pid * portsPerProcess});
+		await Promise.all(processes.map(async (name, position) => this.#startProgram(name, ports.slice(position * portsPerProcess, (position + 1) * portsPerProcess))));
+	}
+
+	/** Address at which callers reach a process. */
+	callerAddress(name: string): string {
+		return this.#addressOf(`callers>${name}`);
+	}
+
+	command(command: ProxyCommand): void {
+		this.#proxies?.send(command);
+	}
+
+	/** Gives a command to the stand-in of the store; resolves to the time at which it was carried out. */
+	async commandStore(command: Readonly<Record<string, unknown>>): Promise<number> {
+		return await this.#store?.request(command) ?? 0;
+	}
+
+	/** Publishes a new version of the configuration; resolves to the time at which the store has it. */
+	async changeConfiguration(): Promise<number> {
+		this.#version++;
+		const value = encodeConfiguration({
+			version: this.#version,
+			organisations: (Object.entries(organisations) as Array<[Organisation, string]>).map(([name, key]) => ({
+				name,
+				keys: (this.#withdrawn.get(name) ?? 0) > 0 ? [] : [key],
+				weight: 1 + (this.#version % 2),
+				limitCpuMillis: name === 'north' ? limitCpuMillis : 0,
+			})),
+		});
+		return this.commandStore({type: 'configure', value});
+	}
+
+	/** Withdraws the key of an organisation, or gives it back once no other fault withholds it. */
+	async changeKey(organisation: Organisation, change: 'withdraw' | 'give-back'): Promise<void> {
+		const count = (this.#withdrawn.get(organisation) ?? 0) + (change === 'withdraw' ? 1 : -1);
+		this.#withdrawn.set(organisation, count);
+		const key = organisations[organisation];
+		if (count === 0) {
+			// Recorded before the change, from which on the key may work again.
+			this.#events.record({
+				type: 'key-changed', at: Date.now(), key, isValid: true,
+			});
+		}
+
+		const at = await this.changeConfiguration();
+		if (count > 0) {
+			this.#events.record({
+				type: 'key-changed', at, key, isValid: false,
+			});
+		}
+	}
+
+	async startWorker(worker: string): Promise<void> {
+		const connection = `all>${worker}`;
+		const started = new HelperProcess(path.join(testingFolder, 'serve-worker-http.js'), {
+			argument: {
+				id: worker,
+				position: this.targets.workers.indexOf(worker),
+				cpuMillis: workerCpuMillis,
+				storeAddress: this.#addressOf(`${worker}>store`),
+				publicAddress: this.#addressOf(connection),
+				eventsFile: this.#events.fileOf(worker),
+			},
+			logFile: this.#fileOf(`${worker}.log`),
+		});
+		this.#workers.set(worker, started);
+		this.command({type: 'set-target', connection, address: await started.readAddress()});
+	}
+
+	async killWorker(worker: string): Promise<void> {
+		const running = this.#workers.get(worker);
+		running?.send({type: 'crash'});
+		await running?.waitForExit();
+	}
+
+	signalWorker(worker: string, signal: 'SIGSTOP' | 'SIGCONT'): void {
+		this.#workers.get(worker)?.signal(signal);
+	}
+
+	/** Stops all processes: the program by SIGTERM, the others by the end of their connection to this process. */
+	async stop(): Promise<void> {
+		await Promise.all([...this.programs.values()].map(async program => program.stop()));
+		await Promise.all([...this.#workers.values(), this.#proxies, this.#store, this.#instances].map(async helper => helper?.stop()));
+	}
+
+	async #startProgram(name: string, ports: readonly number[]): Promise<void> {
+		const [callers, readiness, metrics] = ports.map(port => `127.0.0.1:${port}`) as [string, string, string];
+		const settingsFile = this.#fileOf(`${name}.settings.json`);
+		writeFileSync(settingsFile, encodeSettings({
+			instance: name, callers, readiness, metrics, store: this.#addressOf(`${name}>store`), instances: this.#addressOf(`${name}>instances`), shutdownSeconds,
+		}));
+		this.command({type: 'set-target', connection: `callers>${name}`, address: callers});
+		const program = new ProgramProcess(name, {
+			bundle: this.#bundle, settingsFile, logFile: this.#fileOf(`${name}.log`), events: this.#events,
+		});
+		this.programs.set(name, program);
+		await program.start();
+	}
+
+	#addressOf(connection: string): string {
+		const address = this.#addresses[connection];
+		if (address === undefined) {
+			throw new Error(`There is no connection ${connection}`);
+		}
+
+		return address;
+	}
+
+	#fileOf(name: string): string {
+		return path.join(this.#folder, name);
+	}
+}
--- /dev/null
+++ b/packages/soak/src/soak-load.ts
@@ -0,0 +1,157 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {type CallerAnswer, CallerHttp} from '@rosemaryquay/testing/jobs/caller-http';
+import {type SubmittedStep} from '@rosemaryquay/testing/jobs/fleet-event';
+import {type EventLog} from './event-log.js';
+import {type Organisation, organisations} from './soak-fleet.js';
+
+/** Mean time between two jobs of an organisation, and by how much shorter it is while the organisation overloads the system. */
+const intervalMs = 400;
+const overloadFactor = 8;
+
+/** Attempts to submit a job, each at another process, and the pause between them. */
+const submissionAttempts = 4;
+const retryMs = 500;
+
+/** Interval at which a caller reads the state of its job; ended jobs can be read for at least 60 s. */
+const readIntervalMs = 700;
+
+/** Share of jobs in percent that are cancelled, and of those whose steps allow duplicate runs. */
+const cancelledPercent = 5;
+const duplicatesPercent = 30;
+
+const finalStates = new Set(['completed', 'failed', 'cancelled']);
+
+type Job = {readonly id: string; readonly organisation: Organisation; readonly steps: readonly SubmittedStep[]; readonly isCancelled: boolean; firstProcess: number};
+
+/** Callers of all organisations: they submit jobs at any process, repeat calls whose outcome is unknown, cancel some jobs and read the state of accepted ones until they end. */
+export class SoakLoad {
+	/** Jobs by their outcome for the caller so far. */
+	readonly counts = {
+		submitted: 0, accepted: 0, ended: 0, refused: 0,
+	};
+
+	readonly #callers = new CallerHttp();
+	readonly #seed: number;
+	readonly #events: EventLog;
+	readonly #addresses: readonly string[];
+	readonly #following: Array<Promise<void>> = [];
+	readonly #overloads = new Map<Organisation, number>();
+	/** Time at which callers give up on jobs that have not ended. */
+	#giveUpAt = Number.POSITIVE_INFINITY;
+	#isSubmitting = true;
+
+	constructor(options: {seed: number; events: EventLog; addresses: readonly string[]}) {
+		this.#seed = options.seed;
+		this.#events = options.events;
+		this.#addresses = options.addresses;
+	}
+
+	overload(organisation: Organisation, change: 1 | -1): void {
+		this.#overloads.set(organisation, (this.#overloads.get(organisation) ?? 0) + change);
+	}
+
+	/** Submits jobs until `finish` is called. */
+	start(): void {
+		for (const [position, organisation] of (Object.keys(organisations) as Organisation[]).entries()) {
+			// Each organisation draws from a generator of its own, so that its jobs don't depend on the timing of the others.
+			void this.#submitJobs(organisation, position, xoroshiro128plus((this.#seed * 31) + position));
+		}
+	}
+
+	/** Submits no more jobs and waits until all accepted ones have ended, up to `limitMs`. */
+	async finish(limitMs: number): Promise<void> {
+		this.#isSubmitting = false;
+		this.#giveUpAt = Date.now() + limitMs;
+		await Promise.all(this.#following);
+		this.#callers.close();
+	}
+
+	async #submitJobs(organisation: Organisation, position: number, random: RandomGenerator): Promise<void> {
+		for (let number = 1; this.#isSubmitting; number++) {
+			this.#following.push(this.#followJob(createJob(random, {organisation, number: (position * 0x10_00_00) + number})));
+			const factor = (this.#overloads.get(organisation) ?? 0) > 0 ? overloadFactor : 1;
+			await delay(uniformInt(random, intervalMs / 2, intervalMs * 3 / 2) / factor);
+		}
+	}
+
+	async #followJob(job: Job): Promise<void> {
+		const {id, organisation, steps} = job;
+		this.#events.record({
+			type: 'submitted', at: Date.now(), job: id, organisation, steps: [...steps],
+		});
+		this.counts.submitted++;
+		if (!await this.#submit(job)) {
+			this.counts.refused++;
+			return;
+		}
+
+		this.counts.accepted++;
+		if (job.isCancelled) {
+			await this.#call('cancel', job);
+		}
+
+		while (Date.now() < this.#giveUpAt) {
+			const {state} = await this.#call('read', job);
+			if (finalStates.has(state)) {
+				this.counts.ended++;
+				return;
+			}
+
+			await delay(readIntervalMs);
+		}
+	}
+
+	async #submit(job: Job): Promise<boolean> {
+		for (let attempt = 0; attempt < submissionAttempts; attempt++) {
+			const {status} = await this.#call('submit', job);
+			if (status === 200) {
+				return true;
+			}
+
+			await delay(retryMs);
+		}
+
+		return false;
+	}
+
+	/** Makes a call at the next process and records its answer. */
+	async #call(method: 'submit' | 'read' | 'cancel', job: Job): Promise<CallerAnswer> {
+		const address = this.#addresses[job.firstProcess % this.#addresses.length] ?? '';
+		job.firstProcess++;
+		const key = organisations[job.organisation];
+		const sentAt = Date.now();
+		const call = {address, key, job: job.id};
+		const calls = {
+			submit: async () => this.#callers.submit({...call, steps: job.steps}),
+			read: async () => this.#callers.readState(call),
+			cancel: async () => this.#callers.cancel(call),
+		};
+		const answer = await calls[method]();
+		this.#events.record({
+			type: 'answered', at: Date.now(), sentAt, method, job: job.id, key, ...answer,
+		});
+		return answer;
+	}
+}
+
+/** Draws a job. Its id holds the run time of its tasks for the stand-ins of the workers. */
+function createJob(random: RandomGenerator, options: {organisation: Organisation; number: number}): Job {
+	const {organisation, number} = options;
+	const durationMs = uniformInt(random, 60, 700);
+	const hasStraggler = uniformInt(random, 1, 100) <= duplicatesPercent;
+	const allowDuplicates = hasStraggler && uniformInt(random, 0, 3) > 0;
+	const id = `${number.toString(16).padStart(8, '0')}${durationMs.toString(16).padStart(4, '0')}${hasStraggler ? '1' : '0'}000`;
+	const steps = Array.from({length: uniformInt(random, 1, 2)}, (_, position) => ({
+		count: uniformInt(random, 1, 6),
+		cpuMillis: uniformInt(random, 5, 20) * 100,
+		estimatedMs: Math.round(durationMs * uniformInt(random, 40, 250) / 100),
+		after: position === 0 ? [] : [position - 1],
+		allowDuplicates,
+	}));
+	return {
+		id, organisation, steps, isCancelled: uniformInt(random, 1, 100) <= cancelledPercent, firstProcess: uniformInt(random, 0, 99),
+	};
+}
--- a/packages/testing/src/jobs/platform-http.ts
+++ b/packages/testing/src/jobs/platform-http.ts
@@ -1,6 +1,7 @@
 import {type ListeningServer, startServer} from '../start-server.js';
 import {InvariantChecker} from './invariant-checker.js';
 import {createConfiguration, createWorkers} from './create-fleet.js';
+import {encodeConfiguration} from './encode-configuration-http.js';
 import {StoreHttp} from './store-http.js';
 import {WorkerHttp} from './worker-http.js';
 
@@ -42,17 +43,7 @@
 
 	/** Writes a version of the configuration to the key where the operators publish it. */
 	configure(version: number, keys: readonly string[]): void {
-		this.store.model.put('op/config', JSON.stringify({
-			version,
-			routes: [{
-				name: 'plans', host: 'jobs.example', prefix: '/plans/', service: 'planner', max_attempts: 3, stretch: 1.6, target_latency_ms: 600, priority: 0, allow_anonymous: false,
-			}],
-			services: [{name: 'planner', enforces_capacity: true, spare: false}],
-			limits: {max_body_bytes: 65_536},
-			tenants: [{
-				name: 'north', api_keys: keys, weight: 1, max_count: {cpu: 0, mem_mb: 0, gpu: 0},
-			}],
-		}));
+		this.store.model.put('op/config', encodeConfiguration({version, organisations: [{name: 'north', keys}]}));
 	}
 
 	get addresses(): {store: string; instances: string; tickets: undefined} {
--- a/packages/testing/src/jobs/store-http.ts
+++ b/packages/testing/src/jobs/store-http.ts
@@ -9,7 +9,7 @@
 import {StoreModel} from '../store-model.js';
 
 /** Injected fault of the store. */
-export type StoreFault = 'none' | 'refuses' | 'silent' | 'loses-answers';
+export type StoreFault = 'none' | 'refuses' | 'refuses-writes' | 'silent' | 'loses-answers' | 'answers-late';
 
 const pageSize = 500;
 
@@ -18,6 +18,11 @@
 
 const packetBytes = 8192;
 
+/** Delay of a late answer: near the time-out of the store's client (1.2 s), so that some answers arrive after it. */
+const lateAnswerMs = 1100;
+
+const configurationKey = 'op/config';
+
 const transactionSchema = z.object({
 	expected_rev: z.array(z.object({key: z.string(), revision: z.number()})).default([]),
 	puts: z.array(z.object({key: z.string(), value: z.string(), lease: z.number().optional()})).default([]),
@@ -83,6 +88,17 @@
 		await this.#server?.close();
 	}
 
+	/** Puts the configuration of the operators into the store. */
+	configure(value: string): void {
+		this.model.put(configurationKey, value);
+	}
+
+	/** Discards the history of changes, so that each watch that is not at a new revision yet gets a 410. */
+	loseHistory(): void {
+		this.model.put('soak/history-lost', String(this.model.revision));
+		this.model.compact(this.model.revision);
+	}
+
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		this.calls++;
 		const body = await readBody(request);
@@ -90,7 +106,7 @@
 			return;
 		}
 
-		if (this.fault === 'refuses') {
+		if (this.fault === 'refuses' || (this.fault === 'refuses-writes' && request.url?.startsWith('/kv-txn') === true)) {
 			send(response, {status: 503});
 			return;
 		}
@@ -101,6 +117,10 @@
 			return;
 		}
 
+		if (this.fault === 'answers-late') {
+			await delay(lateAnswerMs);
+		}
+
 		await this.#send(response, answer);
 	}
 
--- a/packages/testing/src/jobs/worker-http.ts
+++ b/packages/testing/src/jobs/worker-http.ts
@@ -31,16 +31,26 @@
 /** Interval at which a long poll for a report checks for ended tasks. */
 const endPollIntervalMs = 5;
 
+/** What the clock of a worker reads when it starts; not 0, which stands for a missing time. */
+const clockOffsetMs = 1000;
+
 /** Stand-in for a worker of the job scheduler over HTTP (`/run-start`, `/run-stop`, `/hold`), on real time. */
 export class WorkerHttp {
 	fault: WorkerFault = 'none';
 	readonly #listing: Omit<ListedWorker, 'address'>;
 	readonly #getBehaviour: (task: string) => TaskBehaviour;
 	readonly #model: WorkerModel;
+	readonly #onOrder: (order: {path: string; fence: number; status: number}) => void;
 	readonly #startedAt = Date.now();
 	#server: ListeningServer | undefined;
 
-	constructor(options: {listing: Omit<ListedWorker, 'address'>; observer: TaskObserver; getBehaviour: (task: string) => TaskBehaviour}) {
+	constructor(options: {
+		listing: Omit<ListedWorker, 'address'>;
+		observer: TaskObserver;
+		getBehaviour: (task: string) => TaskBehaviour;
+		onOrder?: (order: {path: string; fence: number; status: number}) => void;
+	}) {
+		this.#onOrder = options.onOrder ?? (() => undefined);
 		this.#listing = options.listing;
 		this.#getBehaviour = options.getBehaviour;
 		this.#model = new WorkerModel({listing: {...options.listing, address: ''}, observer: options.observer});
@@ -56,18 +66,37 @@
 		await this.#server?.close();
 	}
 
+	get address(): string {
+		return new URL(this.#server?.url ?? '').host;
+	}
+
+	/** Time in milliseconds since 1970 at which the worker's own clock read 0. */
+	get clockOriginMs(): number {
+		return this.#startedAt - clockOffsetMs;
+	}
+
+	/** Ends the runs that are due, which otherwise end with the next request. */
+	advance(): void {
+		this.#model.advance(this.#now());
+	}
+
+	/** Ends all runs without a report. */
+	crash(): void {
+		this.#model.crash(this.#now());
+	}
+
 	/** Returns the entry that the worker writes into the store. */
-	describe(state: 'ready' | 'draining' = 'ready'): string {
+	describe(state: 'ready' | 'draining' = 'ready', address = this.address): string {
 		const {service, availabilityZone, capacity, labels, instance, startedAtMs} = this.#listing;
 		return JSON.stringify({
-			service, address: new URL(this.#server?.url ?? '').host, zone: availabilityZone, version: 'v1', slots: 8, state, sequence: 1, cold_remaining_ms: 0, born: startedAtMs,
+			service, address, zone: availabilityZone, version: 'v1', slots: 8, state, sequence: 1, cold_remaining_ms: 0, born: startedAtMs,
 			capacity: {cpu: capacity.cpuMillis, mem_mb: capacity.memoryMb, gpu: capacity.accelerators}, labels, machine: instance, clock_ms: this.#now(),
 		});
 	}
 
 	/** Time of the worker's monotonic clock, which differs from that of the other processes. */
 	#now(): number {
-		return 1000 + Date.now() - this.#startedAt;
+		return clockOffsetMs + Date.now() - this.#startedAt;
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -96,18 +125,25 @@
 		}
 
 		const order = orderSchema.parse(JSON.parse(Buffer.from(body).toString('utf8')));
+		const path = request.url ?? '';
+		const answer = await this.#carryOut(path, order);
+		this.#onOrder({path, fence: order.fencing_token, status: answer.status});
+		return answer;
+	}
+
+	async #carryOut(path: string, order: z.infer<typeof orderSchema>): Promise<{status: number; body: unknown}> {
 		const {task, run, fencing_token: fence, deadline_ms: leaseUntilMs = 0} = order;
-		if (request.url === '/run-start') {
+		if (path === '/run-start') {
 			return this.#encodeOrderAnswer(this.#model.start(this.#now(), {
 				fence, task, run, leaseUntilMs, behaviour: this.#getBehaviour(task),
 			}));
 		}
 
-		if (request.url === '/run-stop') {
+		if (path === '/run-stop') {
 			return this.#encodeOrderAnswer(this.#model.stop(this.#now(), {fence, task, run}));
 		}
 
-		return request.url === '/hold' ? this.#report(order) : {status: 404, body: {}};
+		return path === '/hold' ? this.#report(order) : {status: 404, body: {}};
 	}
 
 	async #report(order: z.infer<typeof orderSchema>): Promise<{status: number; body: unknown}> {
