Run the proxies of the soak in its own process, and end all processes with it

Change: proxies are objects of the soak; the end of the soak ends all processes that it started. Calls to workers are recorded with the time of their arrival, since a report that waits answers up to 0.6 s later.

--- a/packages/soak/src/apply-fault.ts
+++ b/packages/soak/src/apply-fault.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {type Fault, type FaultKind} from './fault.js';
+import {type Fault, type FaultKind} from './plan-faults.js';
 import {type Direction} from './connection-proxy.js';
 import {type SoakFleet, type Organisation} from './soak-fleet.js';
 import {type SoakLoad} from './soak-load.js';
@@ -8,25 +8,21 @@
 const delayMs = 600;
 
 type Context = {readonly fleet: SoakFleet; readonly load: SoakLoad; readonly storeFaults: string[]};
-type Effect = (context: Context, fault: Fault) => Promise<void> | void;
+type Effect = (context: Context, fault: Fault) => unknown;
 type Handler = {readonly begin: Effect; readonly end?: Effect};
 
-const silence = (directions: Direction[]): Handler => ({
-	begin({fleet}, {target}) {
-		fleet.command({type: 'begin-silence', connection: target, directions});
+const silence = (directions: (fault: Fault) => readonly Direction[]): Handler => ({
+	begin({fleet}, fault) {
+		fleet.proxyOf(fault.target).changeSilence(directions(fault), 1);
 	},
-	end({fleet}, {target}) {
-		fleet.command({type: 'end-silence', connection: target, directions});
+	end({fleet}, fault) {
+		fleet.proxyOf(fault.target).changeSilence(directions(fault), -1);
 	},
 });
 
 const takeDown = (signal: 'SIGTERM' | 'SIGKILL'): Handler => ({
-	begin({fleet}, {target}) {
-		fleet.programs.get(target)?.takeDown(signal);
-	},
-	async end({fleet}, {target}) {
-		await fleet.programs.get(target)?.bringBack();
-	},
+	begin: ({fleet}, {target}) => fleet.programs.get(target)?.takeDown(signal),
+	end: async ({fleet}, {target}) => fleet.programs.get(target)?.bringBack(),
 });
 
 /** The last fault of the store to begin is in force; those before it come back when it ends. */
@@ -44,48 +40,29 @@
 const handlers: Readonly<Record<FaultKind, Handler>> = {
 	'connection-delayed': {
 		begin({fleet}, {target}) {
-			fleet.command({type: 'set-delay', connection: target, delayMs});
+			fleet.proxyOf(target).changeDelay(delayMs);
 		},
 		end({fleet}, {target}) {
-			fleet.command({type: 'set-delay', connection: target, delayMs: 0});
+			fleet.proxyOf(target).changeDelay(-delayMs);
 		},
 	},
 	'connection-reset': {
 		begin({fleet}, {target}) {
-			fleet.command({type: 'reset', connection: target});
-		},
-	},
-	'connection-silent': silence(['there', 'back']),
-	'connection-silent-one-way': {
-		async begin(context, fault) {
-			return silence([directionOf(fault)]).begin(context, fault);
-		},
-		async end(context, fault) {
-			return silence([directionOf(fault)]).end?.(context, fault);
+			fleet.proxyOf(target).reset();
 		},
 	},
+	'connection-silent': silence(() => ['there', 'back']),
+	'connection-silent-one-way': silence(fault => [directionOf(fault)]),
 	'process-killed': takeDown('SIGKILL'),
 	'process-stopped': takeDown('SIGTERM'),
 	'process-paused': {
-		begin({fleet}, {target}) {
-			fleet.programs.get(target)?.pause();
-		},
-		end({fleet}, {target}) {
-			fleet.programs.get(target)?.resume();
-		},
-	},
-	'settings-reloaded': {
-		begin({fleet}, {target}) {
-			fleet.programs.get(target)?.signal('SIGHUP');
-		},
+		begin: ({fleet}, {target}) => fleet.programs.get(target)?.pause(),
+		end: ({fleet}, {target}) => fleet.programs.get(target)?.resume(),
 	},
+	'settings-reloaded': {begin: ({fleet}, {target}) => fleet.programs.get(target)?.signal('SIGHUP')},
 	'worker-killed': {
-		async begin({fleet}, {target}) {
-			await fleet.killWorker(target);
-		},
-		async end({fleet}, {target}) {
-			await fleet.startWorker(target);
-		},
+		begin: async ({fleet}, {target}) => fleet.killWorker(target),
+		end: async ({fleet}, {target}) => fleet.startWorker(target),
 	},
 	'worker-paused': {
 		begin({fleet}, {target}) {
@@ -100,23 +77,11 @@
 	'store-silent': storeFault('silent'),
 	'store-loses-answers': storeFault('loses-answers'),
 	'store-answers-late': storeFault('answers-late'),
-	'store-loses-history': {
-		async begin({fleet}) {
-			await fleet.commandStore({type: 'lose-history'});
-		},
-	},
-	'configuration-changed': {
-		async begin({fleet}) {
-			await fleet.changeConfiguration();
-		},
-	},
+	'store-loses-history': {begin: async ({fleet}) => fleet.commandStore({type: 'lose-history'})},
+	'configuration-changed': {begin: async ({fleet}) => fleet.changeConfiguration()},
 	'key-withdrawn': {
-		async begin({fleet}, {target}) {
-			await fleet.changeKey(target as Organisation, 'withdraw');
-		},
-		async end({fleet}, {target}) {
-			await fleet.changeKey(target as Organisation, 'give-back');
-		},
+		begin: async ({fleet}, {target}) => fleet.changeKey(target as Organisation, 'withdraw'),
+		end: async ({fleet}, {target}) => fleet.changeKey(target as Organisation, 'give-back'),
 	},
 	'organisation-overloads': {
 		begin({load}, {target}) {
--- a/packages/soak/src/check-answers.ts
+++ b/packages/soak/src/check-answers.ts
@@ -65,34 +65,20 @@
 }
 
 function checkKeys(events: readonly FleetEvent[]): Violation[] {
+	const violations: Violation[] = [];
 	const withdrawnAt = new Map<string, number>();
-	const periods: Array<{readonly key: string; readonly from: number; readonly until: number}> = [];
 	for (const event of events) {
-		if (event.type !== 'key-changed') {
-			continue;
-		}
-
-		const from = withdrawnAt.get(event.key);
-		if (event.isValid && from !== undefined) {
-			periods.push({key: event.key, from, until: event.at});
+		if (event.type === 'key-changed' && event.isValid) {
 			withdrawnAt.delete(event.key);
-		} else if (!event.isValid) {
-			withdrawnAt.set(event.key, from ?? event.at);
+		} else if (event.type === 'key-changed') {
+			withdrawnAt.set(event.key, withdrawnAt.get(event.key) ?? event.at);
+		} else if (event.type === 'answered' && event.status === 200) {
+			const lateMs = event.sentAt - (withdrawnAt.get(event.key) ?? Number.POSITIVE_INFINITY);
+			if (lateMs > keyWithdrawalMs) {
+				violations.push({rule: 'withdrawn-key', at: event.at, text: `${event.method} of ${event.job} succeeded, sent ${lateMs} ms after ${event.key} was withdrawn`});
+			}
 		}
 	}
 
-	periods.push(...[...withdrawnAt].map(([key, from]) => ({key, from, until: Number.POSITIVE_INFINITY})));
-	return events.flatMap(event => {
-		if (event.type !== 'answered' || event.status !== 200) {
-			return [];
-		}
-
-		const period = periods.find(({key, from, until}) => key === event.key && event.sentAt > from + keyWithdrawalMs && event.at < until);
-		if (period === undefined) {
-			return [];
-		}
-
-		const lateMs = event.sentAt - period.from;
-		return [{rule: 'withdrawn-key', at: event.at, text: `${event.method} of ${event.job} succeeded, sent ${lateMs} ms after ${event.key} was withdrawn`}];
-	});
+	return violations;
 }
--- a/packages/soak/src/check-processes.ts
+++ b/packages/soak/src/check-processes.ts
@@ -35,10 +35,6 @@
 	/* eslint-enable @typescript-eslint/naming-convention */
 };
 
-type Check = (events: readonly FleetEvent[]) => Violation[];
-
-const checks: readonly Check[] = [checkExits, checkErrors, checkMemory, checkFences, checkReuse];
-
 /**
  * Checks the processes: exits, errors, memory, fencing tokens, and how soon workers are in use again after an outage of the store.
  *
@@ -48,7 +44,7 @@
  * checkProcesses(events);
  */
 export function checkProcesses(events: readonly FleetEvent[]): Violation[] {
-	return checks.flatMap(check => check(events));
+	return [checkExits, checkErrors, checkMemory, checkFences, checkReuse].flatMap(check => check(events));
 }
 
 function checkExits(events: readonly FleetEvent[]): Violation[] {
@@ -155,7 +151,8 @@
 
 		const used = events.slice(position).find(later => later.type === 'ordered' && later.worker === event.worker && later.status === acceptedStatus);
 		const tookMs = (used?.at ?? lastAt) - event.at;
-		return tookMs <= reuseMs ? [] : [{rule: 'reuse', at: event.at, text: `${event.worker} was called ${tookMs} ms after its return to the list, ${event.at - outage.endedAt} ms after the outage`}];
+		const returnedMs = event.at - outage.endedAt;
+		return tookMs <= reuseMs ? [] : [{rule: 'reuse', at: event.at, text: `${event.worker} was called ${tookMs} ms after its return to the list, ${returnedMs} ms after the outage`}];
 	});
 }
 
--- a/packages/soak/src/connection-proxy.test.ts
+++ b/packages/soak/src/connection-proxy.test.ts
@@ -37,20 +37,20 @@
 	it('guards against lost bytes: what was held back in either direction arrives after the silence, in order', async () => {
 		for (const direction of ['there', 'back'] as const) {
 			const socket = await open();
-			proxy.beginSilence(direction);
-			proxy.beginSilence(direction);
+			proxy.changeSilence([direction], 1);
+			proxy.changeSilence([direction], 1);
 			let received = '';
 			socket.on('data', (bytes: Uint8Array) => {
 				received += String(bytes);
 			});
 			socket.write('a');
 			socket.write('b');
-			proxy.endSilence(direction);
+			proxy.changeSilence([direction], -1);
 			await new Promise(resolve => {
 				setTimeout(resolve, 50);
 			});
 			assert.equal(received, '', 'the other silence still holds');
-			proxy.endSilence(direction);
+			proxy.changeSilence([direction], -1);
 			while (received.length < 2) {
 				await once(socket, 'data');
 			}
--- a/packages/soak/src/connection-proxy.ts
+++ b/packages/soak/src/connection-proxy.ts
@@ -43,16 +43,17 @@
 		this.#targetPort = Number(address.split(':')[1]);
 	}
 
-	setDelay(delayMs: number): void {
-		this.#delayMs = delayMs;
+	/** Lengthens, or shortens, the delay of all bytes that arrive from now on. */
+	changeDelay(changeMs: number): void {
+		this.#delayMs += changeMs;
 	}
 
-	beginSilence(direction: Direction): void {
-		this.#silences[direction]++;
-	}
+	/** Begins a silence in the given directions, or ends one that was begun; bytes pass again once all have ended. */
+	changeSilence(silenced: readonly Direction[], change: 1 | -1): void {
+		for (const direction of silenced) {
+			this.#silences[direction] += change;
+		}
 
-	endSilence(direction: Direction): void {
-		this.#silences[direction]--;
 		for (const pump of this.#pumps) {
 			pump();
 		}
--- a/packages/soak/src/find-free-ports.ts
+++ b/packages/soak/src/find-free-ports.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {createServer} from 'node:net';
 
 /** Ports below the range from which the system draws ports of outgoing connections, so that a port stays free while its process restarts. */
@@ -15,32 +16,28 @@
  */
 export async function findFreePorts(count: number, options: {offset?: number} = {}): Promise<number[]> {
 	const {offset = 0} = options;
-	const span = lastPort - firstPort + 1;
 	const ports: number[] = [];
-	for (let position = 0; position < span && ports.length < count; position++) {
-		const port = firstPort + ((offset + position) % span);
+	for (let port = firstPort + (offset % (lastPort - firstPort)); ports.length < count; port++) {
+		if (port > lastPort) {
+			throw new Error(`Fewer than ${count} ports up to ${lastPort} are free`);
+		}
+
 		if (await isFree(port)) {
 			ports.push(port);
 		}
 	}
 
-	if (ports.length < count) {
-		throw new Error(`Fewer than ${count} ports from ${firstPort} to ${lastPort} are free`);
-	}
-
 	return ports;
 }
 
 async function isFree(port: number): Promise<boolean> {
-	const server = createServer();
-	return new Promise(resolve => {
-		server.once('error', () => {
-			resolve(false);
-		});
-		server.listen(port, '127.0.0.1', () => {
-			server.close(() => {
-				resolve(true);
-			});
-		});
-	});
+	const server = createServer().listen(port, '127.0.0.1');
+	try {
+		await once(server, 'listening');
+		return true;
+	} catch {
+		return false;
+	} finally {
+		server.close();
+	}
 }
--- a/packages/soak/src/helper-process.ts
+++ b/packages/soak/src/helper-process.ts
@@ -3,10 +3,10 @@
 import {z} from 'zod';
 
 const messageSchema = z.object({
-	type: z.string(), address: z.string().default(''), addresses: z.record(z.string(), z.string()).default({}), number: z.number().default(0), at: z.number().default(0),
+	type: z.string(), address: z.string().default(''), number: z.number().default(0), at: z.number().default(0),
 });
 
-/** A stand-in or the proxies as a process of its own, which takes commands as messages. */
+/** A stand-in as a process of its own, which takes commands as messages. */
 export class HelperProcess {
 	readonly #child: ChildProcess;
 	readonly #listening: Promise<z.infer<typeof messageSchema>>;
@@ -48,12 +48,6 @@
 		return address;
 	}
 
-	/** Addresses at which the proxies listen, by the name of the connection. */
-	async readAddresses(): Promise<Readonly<Record<string, string>>> {
-		const {addresses} = await this.#listening;
-		return addresses;
-	}
-
 	send(command: Readonly<Record<string, unknown>>): void {
 		if (this.#child.connected) {
 			this.#child.send(command);
@@ -78,6 +72,11 @@
 		await this.#exited;
 	}
 
+	/** Ends the process, whatever its state. */
+	kill(): void {
+		this.#child.kill('SIGKILL');
+	}
+
 	async stop(): Promise<void> {
 		if (this.#child.connected) {
 			this.#child.disconnect();
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -8,8 +8,15 @@
 import {runSoak} from './run-soak.js';
 
 const violationExitCode = 1;
+const interruptedExitCode = 2;
 const millisecondsPerMinute = 60_000;
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		process.exit(interruptedExitCode);
+	});
+}
+
 const {values} = parseArgs({
 	options: {
 		seed: {type: 'string', default: '1'},
@@ -34,9 +41,7 @@
 	...(only !== undefined && {only}),
 	folder,
 	bundle: path.resolve('target', 'rosemaryquay.mjs'),
-	write(line) {
-		process.stdout.write(`${line}\n`);
-	},
+	write: line => process.stdout.write(`${line}\n`),
 });
 for (const {rule, at, text} of violations) {
 	process.stdout.write(`${new Date(at).toISOString()} ${rule}: ${text}\n`);
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -1,7 +1,6 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
-import {type Fault, type FaultKind, type FaultTargets} from './fault.js';
 
 /** Time before the first fault, in which the processes elect an owner. */
 const leadMs = 1500;
@@ -17,76 +16,58 @@
 /** Time after a fault in a worker's process in which it gets no other: a process that is paused can't record its own end. */
 const workerRestMs = 1500;
 
+/** Names of what the faults of a schedule may hit. */
+export type FaultTargets = {
+	readonly processes: readonly string[];
+	readonly workers: readonly string[];
+	readonly connections: readonly string[];
+};
+
 type KindRule = {
+	readonly hits: keyof FaultTargets | readonly string[];
 	/** Shortest and longest duration in milliseconds. */
 	readonly durationMs: readonly [number, number];
-	/** How often the kind is drawn relative to the others. */
-	readonly weight: number;
-	readonly hits: keyof FaultTargets | readonly string[];
-	readonly comesInSeries: boolean;
+	/** How often the kind is drawn relative to the others; 1 by default. */
+	readonly weight?: number;
+	readonly comesInSeries?: boolean;
 };
 
-const kindRules: Readonly<Record<FaultKind, KindRule>> = {
-	'connection-delayed': {
-		durationMs: [500, 4000], weight: 3, hits: 'connections', comesInSeries: false,
-	},
+const store = ['store'];
+
+const kindRules = {
+	'connection-delayed': {hits: 'connections', durationMs: [500, 4000], weight: 3},
 	'connection-reset': {
-		durationMs: [0, 0], weight: 3, hits: 'connections', comesInSeries: true,
+		hits: 'connections', durationMs: [0, 0], weight: 3, comesInSeries: true,
 	},
 	// Up to the time after which the owner gives up a worker (3.4 s) and beyond it.
-	'connection-silent': {
-		durationMs: [500, 5000], weight: 3, hits: 'connections', comesInSeries: false,
-	},
-	'connection-silent-one-way': {
-		durationMs: [500, 5000], weight: 3, hits: 'connections', comesInSeries: false,
-	},
+	'connection-silent': {hits: 'connections', durationMs: [500, 5000], weight: 3},
+	'connection-silent-one-way': {hits: 'connections', durationMs: [500, 5000], weight: 3},
 	'process-killed': {
-		durationMs: [200, 2500], weight: 2, hits: 'processes', comesInSeries: true,
-	},
-	'process-paused': {
-		durationMs: [300, 5000], weight: 3, hits: 'processes', comesInSeries: false,
+		hits: 'processes', durationMs: [200, 2500], weight: 2, comesInSeries: true,
 	},
+	'process-paused': {hits: 'processes', durationMs: [300, 5000], weight: 3},
 	'process-stopped': {
-		durationMs: [500, 2500], weight: 2, hits: 'processes', comesInSeries: true,
-	},
-	'settings-reloaded': {
-		durationMs: [0, 0], weight: 1, hits: 'processes', comesInSeries: true,
-	},
-	'worker-killed': {
-		durationMs: [200, 3000], weight: 2, hits: 'workers', comesInSeries: false,
-	},
-	'worker-paused': {
-		durationMs: [300, 5000], weight: 2, hits: 'workers', comesInSeries: false,
-	},
-	'store-refuses': {
-		durationMs: [300, 4000], weight: 1, hits: ['store'], comesInSeries: false,
-	},
-	'store-refuses-writes': {
-		durationMs: [300, 4000], weight: 1, hits: ['store'], comesInSeries: false,
-	},
-	'store-silent': {
-		durationMs: [300, 4000], weight: 1, hits: ['store'], comesInSeries: false,
-	},
-	'store-loses-answers': {
-		durationMs: [200, 1500], weight: 2, hits: ['store'], comesInSeries: false,
-	},
-	'store-answers-late': {
-		durationMs: [300, 3000], weight: 1, hits: ['store'], comesInSeries: false,
-	},
-	'store-loses-history': {
-		durationMs: [0, 0], weight: 1, hits: ['store'], comesInSeries: true,
-	},
-	'configuration-changed': {
-		durationMs: [0, 0], weight: 1, hits: ['store'], comesInSeries: true,
-	},
+		hits: 'processes', durationMs: [500, 2500], weight: 2, comesInSeries: true,
+	},
+	'settings-reloaded': {hits: 'processes', durationMs: [0, 0], comesInSeries: true},
+	'worker-killed': {hits: 'workers', durationMs: [200, 3000], weight: 2},
+	'worker-paused': {hits: 'workers', durationMs: [300, 5000], weight: 2},
+	'store-refuses': {hits: store, durationMs: [300, 4000]},
+	'store-refuses-writes': {hits: store, durationMs: [300, 4000]},
+	'store-silent': {hits: store, durationMs: [300, 4000]},
+	'store-loses-answers': {hits: store, durationMs: [200, 1500], weight: 2},
+	'store-answers-late': {hits: store, durationMs: [300, 3000]},
+	'store-loses-history': {hits: store, durationMs: [0, 0], comesInSeries: true},
+	'configuration-changed': {hits: store, durationMs: [0, 0], comesInSeries: true},
 	// Longer than the 5 s after which a withdrawn key must not work any more.
-	'key-withdrawn': {
-		durationMs: [6500, 8000], weight: 1, hits: ['south'], comesInSeries: false,
-	},
-	'organisation-overloads': {
-		durationMs: [1000, 4000], weight: 1, hits: ['north', 'south'], comesInSeries: false,
-	},
-};
+	'key-withdrawn': {hits: ['south'], durationMs: [6500, 8000]},
+	'organisation-overloads': {hits: ['north', 'south'], durationMs: [1000, 4000]},
+} satisfies Readonly<Record<string, KindRule>>;
+
+export type FaultKind = keyof typeof kindRules;
+
+/** A fault of the schedule; `number` is what `--only` selects it by. Times are in milliseconds since the start of the run. */
+export type Fault = {readonly number: number; readonly kind: FaultKind; readonly target: string; readonly atMs: number; readonly durationMs: number};
 
 /**
  * Draws the schedule of faults of a run. It depends on its arguments alone.
@@ -100,12 +81,12 @@
 export function planFaults(seed: number, options: {durationMs: number; targets: FaultTargets}): Fault[] {
 	const {durationMs, targets} = options;
 	const random = xoroshiro128plus(seed);
-	const lots = (Object.entries(kindRules) as Array<[FaultKind, KindRule]>).flatMap(([kind, {weight}]) => Array.from({length: weight}, () => kind));
+	const lots = (Object.entries(kindRules) as Array<[FaultKind, KindRule]>).flatMap(([kind, {weight = 1}]) => Array.from({length: weight}, () => kind));
 	const faults: Array<Omit<Fault, 'number'>> = [];
 	const workersBusyUntil = new Map<string, number>();
 	for (let atMs = leadMs; atMs < durationMs; atMs += uniformInt(random, 0, longestGapMs)) {
 		const kind = draw(random, lots);
-		const rule = kindRules[kind];
+		const rule: KindRule = kindRules[kind];
 		const target = draw(random, typeof rule.hits === 'string' ? targets[rule.hits] : rule.hits);
 		const count = rule.comesInSeries && uniformInt(random, 1, 100) <= seriesPercent ? uniformInt(random, 2, longestSeries) : 1;
 		let beginsAt = atMs;
--- a/packages/soak/src/program-process.ts
+++ b/packages/soak/src/program-process.ts
@@ -120,6 +120,11 @@
 		}
 	}
 
+	/** Ends the process, whatever its state. */
+	kill(): void {
+		this.#child?.kill('SIGKILL');
+	}
+
 	async stop(): Promise<void> {
 		this.signal('SIGTERM');
 		await this.#waitForExit();
@@ -172,10 +177,9 @@
 
 function readResidentBytes(pid: number): number | undefined {
 	try {
-		const match = /^VmRSS:\s+(?<size>\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
-		return match?.groups?.size === undefined ? undefined : Number(match.groups.size) * kilobyte;
+		const size = /^VmRSS:\s+(?<size>\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.size;
+		return size === undefined ? undefined : Number(size) * kilobyte;
 	} catch {
-		// The process has just exited, or the system has no /proc.
 		return undefined;
 	}
 }
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -1,10 +1,11 @@
 import {rmSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
 import {applyFault} from './apply-fault.js';
 import {checkEvents} from './check-events.js';
 import {EventLog} from './event-log.js';
-import {planFaults} from './plan-faults.js';
-import {type Fault} from './fault.js';
+import {type Fault, planFaults} from './plan-faults.js';
 import {SoakFleet} from './soak-fleet.js';
 import {SoakLoad} from './soak-load.js';
 import {type Violation} from './violation.js';
@@ -29,7 +30,7 @@
 	readonly folder: string;
 	/** Path of the bundled program. */
 	readonly bundle: string;
-	readonly write: (line: string) => void;
+	readonly write: (line: string) => unknown;
 };
 
 export type SoakReport = {
@@ -59,9 +60,15 @@
 		write(`${number}. ${atMs} ms ${kind} ${target}${lastsMs === 0 ? '' : ` for ${lastsMs} ms`}`);
 	}
 
+	// No process is left behind, whatever ends this one.
+	const killAll = (): void => {
+		fleet.kill();
+	};
+
+	process.once('exit', killAll);
 	try {
 		await fleet.start();
-		const load = new SoakLoad({seed, events, addresses: fleet.targets.processes.map(name => fleet.callerAddress(name))});
+		const load = new SoakLoad({seed, events, addresses: fleet.targets.processes.map(name => fleet.proxyOf(`callers>${name}`).address)});
 		const startedAt = Date.now();
 		const progress = setInterval(() => {
 			for (const program of fleet.programs.values()) {
@@ -81,23 +88,18 @@
 				});
 			},
 		})));
-		await waitUntil(startedAt + durationMs);
+		await delay(startedAt + durationMs - Date.now());
 		await load.finish(settleMs);
 		clearInterval(progress);
 		await fleet.stop();
+		process.off('exit', killAll);
 		const report = {
 			seed, faults, jobs: load.counts, violations: checkEvents(events.readAll()),
 		};
 		writeFileSync(path.join(folder, 'report.json'), JSON.stringify(report, undefined, '\t'));
 		return report;
 	} catch (error) {
-		await fleet.stop();
+		fleet.kill();
 		throw error;
 	}
 }
-
-async function waitUntil(at: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, Math.max(0, at - Date.now()));
-	});
-}
--- a/packages/soak/src/soak-fleet.ts
+++ b/packages/soak/src/soak-fleet.ts
@@ -4,12 +4,12 @@
 import {fileURLToPath} from 'node:url';
 import {encodeConfiguration} from '@rosemaryquay/testing/jobs/encode-configuration-http';
 import {encodeSettings} from '@rosemaryquay/testing/jobs/encode-settings-http';
+import {ConnectionProxy} from './connection-proxy.js';
 import {type EventLog} from './event-log.js';
-import {type FaultTargets} from './fault.js';
+import {type FaultTargets} from './plan-faults.js';
 import {findFreePorts} from './find-free-ports.js';
 import {HelperProcess} from './helper-process.js';
 import {ProgramProcess} from './program-process.js';
-import {type ProxyCommand} from './serve-proxies.js';
 
 /** Capacity of a worker, and the upper limit of the first organisation, which is below what the workers have together. */
 const workerCpuMillis = 8000;
@@ -21,7 +21,6 @@
 const shutdownSeconds = 6;
 
 const testingFolder = path.dirname(fileURLToPath(import.meta.resolve('@rosemaryquay/testing/jobs/store-http')));
-const proxiesModule = fileURLToPath(new URL('serve-proxies.js', import.meta.url));
 
 /** Organisations and their keys; the second one loses its key and gets it back. */
 export const organisations = {north: 'key-north', south: 'key-south'} as const;
@@ -36,10 +35,9 @@
 	readonly #events: EventLog;
 	readonly #workers = new Map<string, HelperProcess>();
 	readonly #withdrawn = new Map<Organisation, number>();
-	#proxies: HelperProcess | undefined;
+	readonly #proxies = new Map<string, ConnectionProxy>();
 	#store: HelperProcess | undefined;
 	#instances: HelperProcess | undefined;
-	#addresses: Readonly<Record<string, string>> = {};
 	#version = 0;
 
 	constructor(options: {folder: string; bundle: string; events: EventLog; processCount: number; workerCount: number}) {
@@ -62,15 +60,14 @@
 	async start(): Promise<void> {
 		mkdirSync(this.#folder, {recursive: true});
 		const {processes, workers, connections} = this.targets;
-		this.#proxies = new HelperProcess(proxiesModule, {argument: connections, logFile: this.#fileOf('proxies.log')});
 		this.#store = new HelperProcess(path.join(testingFolder, 'serve-store-http.js'), {argument: {}, logFile: this.#fileOf('store.log')});
 		this.#instances = new HelperProcess(path.join(testingFolder, 'serve-instances-http.js'), {argument: {}, logFile: this.#fileOf('instances.log')});
-		this.#addresses = await this.#proxies.readAddresses();
-		const [store, instances] = [await this.#store.readAddress(), await this.#instances.readAddress()];
+		const [store, instances] = await Promise.all([this.#store.readAddress(), this.#instances.readAddress()]);
 		for (const connection of connections) {
-			if (connection.endsWith('>store') || connection.endsWith('>instances')) {
-				this.command({type: 'set-target', connection, address: connection.endsWith('>store') ? store : instances});
-			}
+			const proxy = new ConnectionProxy();
+			await proxy.start();
+			proxy.setTarget(connection.endsWith('>instances') ? instances : store);
+			this.#proxies.set(connection, proxy);
 		}
 
 		this.#events.record({
@@ -82,13 +79,14 @@
 		await Promise.all(processes.map(async (name, position) => this.#startProgram(name, ports.slice(position * portsPerProcess, (position + 1) * portsPerProcess))));
 	}
 
-	/** Address at which callers reach a process. */
-	callerAddress(name: string): string {
-		return this.#addressOf(`callers>${name}`);
-	}
+	/** Proxy of a connection, named as in `targets`. */
+	proxyOf(connection: string): ConnectionProxy {
+		const proxy = this.#proxies.get(connection);
+		if (proxy === undefined) {
+			throw new Error(`There is no connection ${connection}`);
+		}
 
-	command(command: ProxyCommand): void {
-		this.#proxies?.send(command);
+		return proxy;
 	}
 
 	/** Gives a command to the stand-in of the store; resolves to the time at which it was carried out. */
@@ -138,14 +136,14 @@
 				id: worker,
 				position: this.targets.workers.indexOf(worker),
 				cpuMillis: workerCpuMillis,
-				storeAddress: this.#addressOf(`${worker}>store`),
-				publicAddress: this.#addressOf(connection),
+				storeAddress: this.proxyOf(`${worker}>store`).address,
+				publicAddress: this.proxyOf(connection).address,
 				eventsFile: this.#events.fileOf(worker),
 			},
 			logFile: this.#fileOf(`${worker}.log`),
 		});
 		this.#workers.set(worker, started);
-		this.command({type: 'set-target', connection, address: await started.readAddress()});
+		this.proxyOf(connection).setTarget(await started.readAddress());
 	}
 
 	async killWorker(worker: string): Promise<void> {
@@ -161,16 +159,30 @@
 	/** Stops all processes: the program by SIGTERM, the others by the end of their connection to this process. */
 	async stop(): Promise<void> {
 		await Promise.all([...this.programs.values()].map(async program => program.stop()));
-		await Promise.all([...this.#workers.values(), this.#proxies, this.#store, this.#instances].map(async helper => helper?.stop()));
+		await Promise.all(this.#helpers.map(async helper => helper.stop()));
+		for (const proxy of this.#proxies.values()) {
+			proxy.close();
+		}
+	}
+
+	/** Ends all processes at once, also paused ones. */
+	kill(): void {
+		for (const child of [...this.programs.values(), ...this.#helpers]) {
+			child.kill();
+		}
+	}
+
+	get #helpers(): HelperProcess[] {
+		return [...this.#workers.values(), this.#store, this.#instances].filter(helper => helper !== undefined);
 	}
 
 	async #startProgram(name: string, ports: readonly number[]): Promise<void> {
 		const [callers, readiness, metrics] = ports.map(port => `127.0.0.1:${port}`) as [string, string, string];
 		const settingsFile = this.#fileOf(`${name}.settings.json`);
 		writeFileSync(settingsFile, encodeSettings({
-			instance: name, callers, readiness, metrics, store: this.#addressOf(`${name}>store`), instances: this.#addressOf(`${name}>instances`), shutdownSeconds,
+			instance: name, callers, readiness, metrics, store: this.proxyOf(`${name}>store`).address, instances: this.proxyOf(`${name}>instances`).address, shutdownSeconds,
 		}));
-		this.command({type: 'set-target', connection: `callers>${name}`, address: callers});
+		this.proxyOf(`callers>${name}`).setTarget(callers);
 		const program = new ProgramProcess(name, {
 			bundle: this.#bundle, settingsFile, logFile: this.#fileOf(`${name}.log`), events: this.#events,
 		});
@@ -178,15 +190,6 @@
 		await program.start();
 	}
 
-	#addressOf(connection: string): string {
-		const address = this.#addresses[connection];
-		if (address === undefined) {
-			throw new Error(`There is no connection ${connection}`);
-		}
-
-		return address;
-	}
-
 	#fileOf(name: string): string {
 		return path.join(this.#folder, name);
 	}
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -2,7 +2,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
-import {type CallerAnswer, CallerHttp} from '@rosemaryquay/testing/jobs/caller-http';
+import {type CallerAnswer, CallerHttp, type CallerMethod} from '@rosemaryquay/testing/jobs/caller-http';
 import {type SubmittedStep} from '@rosemaryquay/testing/jobs/fleet-event';
 import {type EventLog} from './event-log.js';
 import {type Organisation, organisations} from './soak-fleet.js';
@@ -24,7 +24,7 @@
 
 const finalStates = new Set(['completed', 'failed', 'cancelled']);
 
-type Job = {readonly id: string; readonly organisation: Organisation; readonly steps: readonly SubmittedStep[]; readonly isCancelled: boolean; firstProcess: number};
+type Job = {readonly id: string; readonly organisation: Organisation; readonly steps: readonly SubmittedStep[]; readonly isCancelled: boolean; nextProcess: number};
 
 /** Callers of all organisations: they submit jobs at any process, repeat calls whose outcome is unknown, cancel some jobs and read the state of accepted ones until they end. */
 export class SoakLoad {
@@ -118,18 +118,14 @@
 	}
 
 	/** Makes a call at the next process and records its answer. */
-	async #call(method: 'submit' | 'read' | 'cancel', job: Job): Promise<CallerAnswer> {
-		const address = this.#addresses[job.firstProcess % this.#addresses.length] ?? '';
-		job.firstProcess++;
+	async #call(method: CallerMethod, job: Job): Promise<CallerAnswer> {
+		const address = this.#addresses[job.nextProcess % this.#addresses.length] ?? '';
+		job.nextProcess++;
 		const key = organisations[job.organisation];
 		const sentAt = Date.now();
-		const call = {address, key, job: job.id};
-		const calls = {
-			submit: async () => this.#callers.submit({...call, steps: job.steps}),
-			read: async () => this.#callers.readState(call),
-			cancel: async () => this.#callers.cancel(call),
-		};
-		const answer = await calls[method]();
+		const answer = await this.#callers.call({
+			method, address, key, job: job.id, steps: job.steps,
+		});
 		this.#events.record({
 			type: 'answered', at: Date.now(), sentAt, method, job: job.id, key, ...answer,
 		});
@@ -152,6 +148,6 @@
 		allowDuplicates,
 	}));
 	return {
-		id, organisation, steps, isCancelled: uniformInt(random, 1, 100) <= cancelledPercent, firstProcess: uniformInt(random, 0, 99),
+		id, organisation, steps, isCancelled: uniformInt(random, 1, 100) <= cancelledPercent, nextProcess: uniformInt(random, 0, 99),
 	};
 }
--- a/packages/testing/src/jobs/caller-http.ts
+++ b/packages/testing/src/jobs/caller-http.ts
@@ -9,6 +9,9 @@
 /** Longest state of a job in an answer, a guard against a faulty answer. */
 const longestAnswerBytes = 65_536;
 
+const httpMethods = {submit: 'POST', read: 'GET', cancel: 'DELETE'} as const;
+export type CallerMethod = keyof typeof httpMethods;
+
 /** Answer to a call; `status` 0 when none arrived, so that the outcome is unknown. */
 export type CallerAnswer = {readonly status: number; readonly state: string};
 
@@ -16,28 +19,20 @@
 export class CallerHttp {
 	readonly #agent = new Agent({keepAlive: true, maxSockets: 64});
 
-	/** Submits a job with the given steps. */
-	async submit(call: {address: string; key: string; job: string; steps: readonly SubmittedStep[]}): Promise<CallerAnswer> {
+	/** Submits a job with the given steps, reads its state, or cancels it. */
+	async call(call: {method: CallerMethod; address: string; key: string; job: string; steps: readonly SubmittedStep[]}): Promise<CallerAnswer> {
 		const steps = call.steps.map(({count, cpuMillis, estimatedMs, after, allowDuplicates}) => ({
 			count, cpu: cpuMillis, mem_mb: 64, estimated_ms: estimatedMs, after, allow_duplicates: allowDuplicates,
 		}));
-		return this.#call('POST', {...call, body: JSON.stringify({spec: '', steps})});
-	}
-
-	async readState(call: {address: string; key: string; job: string}): Promise<CallerAnswer> {
-		return this.#call('GET', call);
-	}
-
-	async cancel(call: {address: string; key: string; job: string}): Promise<CallerAnswer> {
-		return this.#call('DELETE', call);
+		return this.#send(httpMethods[call.method], {...call, body: call.method === 'submit' ? JSON.stringify({spec: '', steps}) : ''});
 	}
 
 	close(): void {
 		this.#agent.destroy();
 	}
 
-	async #call(method: string, call: {address: string; key: string; job: string; body?: string}): Promise<CallerAnswer> {
-		const {address, key, job, body = ''} = call;
+	async #send(method: string, call: {address: string; key: string; job: string; body: string}): Promise<CallerAnswer> {
+		const {address, key, job, body} = call;
 		const [host, port] = address.split(':');
 		return new Promise(resolve => {
 			const finish = (status: number, content = ''): void => {
--- a/packages/testing/src/jobs/serve-worker-http.ts
+++ b/packages/testing/src/jobs/serve-worker-http.ts
@@ -63,9 +63,9 @@
 		workerCrashed: () => undefined,
 	},
 	getBehaviour: task => readTaskBehaviour(task, worker),
-	onOrder({path, fence, status}) {
+	onOrder({path, fence, status, receivedAt}) {
 		record({
-			type: 'ordered', at: Date.now(), worker, path, fence, status,
+			type: 'ordered', at: receivedAt, worker, path, fence, status,
 		});
 	},
 });
--- a/packages/testing/src/jobs/worker-http.ts
+++ b/packages/testing/src/jobs/worker-http.ts
@@ -40,7 +40,7 @@
 	readonly #listing: Omit<ListedWorker, 'address'>;
 	readonly #getBehaviour: (task: string) => TaskBehaviour;
 	readonly #model: WorkerModel;
-	readonly #onOrder: (order: {path: string; fence: number; status: number}) => void;
+	readonly #onOrder: (order: {path: string; fence: number; status: number; receivedAt: number}) => void;
 	readonly #startedAt = Date.now();
 	#server: ListeningServer | undefined;
 
@@ -48,7 +48,7 @@
 		listing: Omit<ListedWorker, 'address'>;
 		observer: TaskObserver;
 		getBehaviour: (task: string) => TaskBehaviour;
-		onOrder?: (order: {path: string; fence: number; status: number}) => void;
+		onOrder?: (order: {path: string; fence: number; status: number; receivedAt: number}) => void;
 	}) {
 		this.#onOrder = options.onOrder ?? (() => undefined);
 		this.#listing = options.listing;
@@ -126,8 +126,11 @@
 
 		const order = orderSchema.parse(JSON.parse(Buffer.from(body).toString('utf8')));
 		const path = request.url ?? '';
+		const receivedAt = Date.now();
 		const answer = await this.#carryOut(path, order);
-		this.#onOrder({path, fence: order.fencing_token, status: answer.status});
+		this.#onOrder({
+			path, fence: order.fencing_token, status: answer.status, receivedAt,
+		});
 		return answer;
 	}
 
