Shorten the processes and the event log of the soak

Cause: each stand-in was a field of its own, and each event repeated its time. Change: one table of stand-ins; events take the present time by default; one call begins and ends a pause. Tests: 51 of packages/soak pass.

--- a/packages/soak/src/apply-fault.ts
+++ b/packages/soak/src/apply-fault.ts
@@ -56,8 +56,8 @@
 	'process-killed': takeDown('SIGKILL'),
 	'process-stopped': takeDown('SIGTERM'),
 	'process-paused': {
-		begin: ({fleet}, {target}) => fleet.programs.get(target)?.pause(),
-		end: ({fleet}, {target}) => fleet.programs.get(target)?.resume(),
+		begin: ({fleet}, {target}) => fleet.programs.get(target)?.changePause(1),
+		end: ({fleet}, {target}) => fleet.programs.get(target)?.changePause(-1),
 	},
 	'settings-reloaded': {begin: ({fleet}, {target}) => fleet.programs.get(target)?.signal('SIGHUP')},
 	'worker-killed': {
--- a/packages/soak/src/connection-proxy.test.ts
+++ b/packages/soak/src/connection-proxy.test.ts
@@ -6,6 +6,7 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {ConnectionProxy} from './connection-proxy.js';
 
 describe('ConnectionProxy', () => {
@@ -16,9 +17,8 @@
 	});
 
 	before(async () => {
-		await new Promise<void>(resolve => {
-			echo.listen(0, '127.0.0.1', resolve);
-		});
+		echo.listen(0, '127.0.0.1');
+		await once(echo, 'listening');
 		await proxy.start();
 		proxy.setTarget(`127.0.0.1:${(echo.address() as AddressInfo).port}`);
 	});
@@ -46,9 +46,7 @@
 			socket.write('a');
 			socket.write('b');
 			proxy.changeSilence([direction], -1);
-			await new Promise(resolve => {
-				setTimeout(resolve, 50);
-			});
+			await delay(50);
 			assert.equal(received, '', 'the other silence still holds');
 			proxy.changeSilence([direction], -1);
 			while (received.length < 2) {
@@ -62,14 +60,9 @@
 
 	it('guards against a reset that the caller does not see', async () => {
 		const socket = await open();
-		const closed = new Promise<string>(resolve => {
-			socket.once('error', ({code}: NodeJS.ErrnoException) => {
-				resolve(code ?? '');
-			});
-		});
 		socket.write('a');
 		await once(socket, 'data');
 		proxy.reset();
-		assert.equal(await closed, 'ECONNRESET');
+		await assert.rejects(once(socket, 'close'), {code: 'ECONNRESET'});
 	});
 });
--- a/packages/soak/src/event-log.ts
+++ b/packages/soak/src/event-log.ts
@@ -4,6 +4,8 @@
 import path from 'node:path';
 import {type FleetEvent, fleetEventSchema} from '@rosemaryquay/testing/jobs/fleet-event';
 
+type Fields<Type extends FleetEvent['type']> = Omit<Extract<FleetEvent, {type: Type}>, 'type' | 'at'>;
+
 const suffix = '.events.jsonl';
 
 /** Events of all processes of a run, in one file for each process that writes them, so that none is lost in a kill. */
@@ -19,8 +21,9 @@
 		return path.join(this.#folder, `${name}${suffix}`);
 	}
 
-	record(event: FleetEvent): void {
-		appendFileSync(this.fileOf('runner'), `${JSON.stringify(event)}\n`);
+	/** Records what this process has seen, by default now. */
+	record<Type extends FleetEvent['type']>(type: Type, fields: Fields<Type>, at = Date.now()): void {
+		appendFileSync(this.fileOf('runner'), `${JSON.stringify({type, at, ...fields})}\n`);
 	}
 
 	/** Reads the events of all processes. A line that a kill cut short is left out. */
--- a/packages/soak/src/helper-process.ts
+++ b/packages/soak/src/helper-process.ts
@@ -8,9 +8,10 @@
 
 /** A stand-in as a process of its own, which takes commands as messages. */
 export class HelperProcess {
+	/** Resolves when the process has exited. */
+	readonly exited: Promise<void>;
 	readonly #child: ChildProcess;
 	readonly #listening: Promise<z.infer<typeof messageSchema>>;
-	readonly #exited: Promise<void>;
 	readonly #waiting = new Map<number, (at: number) => void>();
 	#lastNumber = 0;
 
@@ -20,7 +21,7 @@
 		const log = createWriteStream(options.logFile, {flags: 'a'});
 		child.stdout?.pipe(log, {end: false});
 		child.stderr?.pipe(log, {end: false});
-		this.#exited = new Promise(resolve => {
+		this.exited = new Promise(resolve => {
 			child.once('exit', () => {
 				log.end();
 				resolve();
@@ -63,25 +64,15 @@
 		});
 	}
 
-	signal(signal: 'SIGSTOP' | 'SIGCONT'): void {
+	signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGKILL'): void {
 		this.#child.kill(signal);
 	}
 
-	/** Resolves when the process has exited. */
-	async waitForExit(): Promise<void> {
-		await this.#exited;
-	}
-
-	/** Ends the process, whatever its state. */
-	kill(): void {
-		this.#child.kill('SIGKILL');
-	}
-
 	async stop(): Promise<void> {
 		if (this.#child.connected) {
 			this.#child.disconnect();
 		}
 
-		await this.#exited;
+		await this.exited;
 	}
 }
--- a/packages/soak/src/program-process.ts
+++ b/packages/soak/src/program-process.ts
@@ -61,9 +61,7 @@
 		});
 		child.once('exit', (code, signal) => {
 			this.#child = undefined;
-			this.#options.events.record({
-				type: 'exited', at: Date.now(), process: this.name, code: code ?? -1, signal: signal ?? '',
-			});
+			this.#options.events.record('exited', {process: this.name, code: code ?? -1, signal: signal ?? ''});
 		});
 		await waitUntil(() => this.#isReady || !this.isRunning, startLimitMs);
 	}
@@ -74,9 +72,7 @@
 			return;
 		}
 
-		this.#options.events.record({
-			type: 'signalled', at: Date.now(), process: this.name, signal,
-		});
+		this.#options.events.record('signalled', {process: this.name, signal});
 		this.#isAskedToExit ||= signal === 'SIGTERM' || signal === 'SIGKILL';
 		this.#child.kill(signal);
 	}
@@ -99,24 +95,16 @@
 		}
 	}
 
-	pause(): void {
-		this.#pauseCount++;
-		this.signal('SIGSTOP');
-	}
-
-	resume(): void {
-		this.#pauseCount--;
-		if (this.#pauseCount === 0) {
-			this.signal('SIGCONT');
-		}
+	/** Begins a pause, or ends one that was begun; the process continues once all have ended. */
+	changePause(change: 1 | -1): void {
+		this.#pauseCount += change;
+		this.signal(this.#pauseCount > 0 ? 'SIGSTOP' : 'SIGCONT');
 	}
 
 	recordMemory(): void {
 		const resident = this.#child?.pid === undefined ? undefined : readResidentBytes(this.#child.pid);
 		if (resident !== undefined) {
-			this.#options.events.record({
-				type: 'memory', at: Date.now(), process: this.name, bytes: resident,
-			});
+			this.#options.events.record('memory', {process: this.name, bytes: resident});
 		}
 	}
 
@@ -152,18 +140,14 @@
 		const {event, fence, time} = decoded.data;
 		this.#isReady ||= event === 'process-started';
 		if (event === 'owner-elected') {
-			this.#options.events.record({
-				type: 'owner-elected', at: Date.parse(time), process: this.name, fence,
-			});
+			this.#options.events.record('owner-elected', {process: this.name, fence}, Date.parse(time));
 		} else if (errorEvents.has(event)) {
 			this.#recordError(line);
 		}
 	}
 
 	#recordError(text: string): void {
-		this.#options.events.record({
-			type: 'error-logged', at: Date.now(), process: this.name, text,
-		});
+		this.#options.events.record('error-logged', {process: this.name, text});
 	}
 }
 
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -83,9 +83,7 @@
 			context,
 			startedAt,
 			onChange(type, {number, kind, target}) {
-				events.record({
-					type, at: Date.now(), fault: number, kind, target,
-				});
+				events.record(type, {fault: number, kind, target});
 			},
 		})));
 		await delay(startedAt + durationMs - Date.now());
--- a/packages/soak/src/soak-fleet.ts
+++ b/packages/soak/src/soak-fleet.ts
@@ -33,11 +33,9 @@
 	readonly #folder: string;
 	readonly #bundle: string;
 	readonly #events: EventLog;
-	readonly #workers = new Map<string, HelperProcess>();
+	readonly #helpers = new Map<string, HelperProcess>();
 	readonly #withdrawn = new Map<Organisation, number>();
 	readonly #proxies = new Map<string, ConnectionProxy>();
-	#store: HelperProcess | undefined;
-	#instances: HelperProcess | undefined;
 	#version = 0;
 
 	constructor(options: {folder: string; bundle: string; events: EventLog; processCount: number; workerCount: number}) {
@@ -60,9 +58,7 @@
 	async start(): Promise<void> {
 		mkdirSync(this.#folder, {recursive: true});
 		const {processes, workers, connections} = this.targets;
-		this.#store = new HelperProcess(path.join(testingFolder, 'serve-store-http.js'), {argument: {}, logFile: this.#fileOf('store.log')});
-		this.#instances = new HelperProcess(path.join(testingFolder, 'serve-instances-http.js'), {argument: {}, logFile: this.#fileOf('instances.log')});
-		const [store, instances] = await Promise.all([this.#store.readAddress(), this.#instances.readAddress()]);
+		const [store, instances] = await Promise.all([this.#startHelper('store', 'serve-store-http.js'), this.#startHelper('instances', 'serve-instances-http.js')]);
 		for (const connection of connections) {
 			const proxy = new ConnectionProxy();
 			await proxy.start();
@@ -70,9 +66,7 @@
 			this.#proxies.set(connection, proxy);
 		}
 
-		this.#events.record({
-			type: 'limited', at: Date.now(), organisation: 'north', cpuMillis: limitCpuMillis,
-		});
+		this.#events.record('limited', {organisation: 'north', cpuMillis: limitCpuMillis});
 		await this.changeConfiguration();
 		await Promise.all(workers.map(async worker => this.startWorker(worker)));
 		const ports = await findFreePorts(processes.length * portsPerProcess, {offset: process.pid * portsPerProcess});
@@ -91,7 +85,7 @@
 
 	/** Gives a command to the stand-in of the store; resolves to the time at which it was carried out. */
 	async commandStore(command: Readonly<Record<string, unknown>>): Promise<number> {
-		return await this.#store?.request(command) ?? 0;
+		return await this.#helpers.get('store')?.request(command) ?? 0;
 	}
 
 	/** Publishes a new version of the configuration; resolves to the time at which the store has it. */
@@ -116,50 +110,41 @@
 		const key = organisations[organisation];
 		if (count === 0) {
 			// Recorded before the change, from which on the key may work again.
-			this.#events.record({
-				type: 'key-changed', at: Date.now(), key, isValid: true,
-			});
+			this.#events.record('key-changed', {key, isValid: true});
 		}
 
 		const at = await this.changeConfiguration();
 		if (count > 0) {
-			this.#events.record({
-				type: 'key-changed', at, key, isValid: false,
-			});
+			this.#events.record('key-changed', {key, isValid: false}, at);
 		}
 	}
 
 	async startWorker(worker: string): Promise<void> {
-		const connection = `all>${worker}`;
-		const started = new HelperProcess(path.join(testingFolder, 'serve-worker-http.js'), {
-			argument: {
-				id: worker,
-				position: this.targets.workers.indexOf(worker),
-				cpuMillis: workerCpuMillis,
-				storeAddress: this.proxyOf(`${worker}>store`).address,
-				publicAddress: this.proxyOf(connection).address,
-				eventsFile: this.#events.fileOf(worker),
-			},
-			logFile: this.#fileOf(`${worker}.log`),
-		});
-		this.#workers.set(worker, started);
-		this.proxyOf(connection).setTarget(await started.readAddress());
+		const proxy = this.proxyOf(`all>${worker}`);
+		proxy.setTarget(await this.#startHelper(worker, 'serve-worker-http.js', {
+			id: worker,
+			position: this.targets.workers.indexOf(worker),
+			cpuMillis: workerCpuMillis,
+			storeAddress: this.proxyOf(`${worker}>store`).address,
+			publicAddress: proxy.address,
+			eventsFile: this.#events.fileOf(worker),
+		}));
 	}
 
 	async killWorker(worker: string): Promise<void> {
-		const running = this.#workers.get(worker);
+		const running = this.#helpers.get(worker);
 		running?.send({type: 'crash'});
-		await running?.waitForExit();
+		await running?.exited;
 	}
 
 	signalWorker(worker: string, signal: 'SIGSTOP' | 'SIGCONT'): void {
-		this.#workers.get(worker)?.signal(signal);
+		this.#helpers.get(worker)?.signal(signal);
 	}
 
 	/** Stops all processes: the program by SIGTERM, the others by the end of their connection to this process. */
 	async stop(): Promise<void> {
 		await Promise.all([...this.programs.values()].map(async program => program.stop()));
-		await Promise.all(this.#helpers.map(async helper => helper.stop()));
+		await Promise.all([...this.#helpers.values()].map(async helper => helper.stop()));
 		for (const proxy of this.#proxies.values()) {
 			proxy.close();
 		}
@@ -167,13 +152,20 @@
 
 	/** Ends all processes at once, also paused ones. */
 	kill(): void {
-		for (const child of [...this.programs.values(), ...this.#helpers]) {
-			child.kill();
+		for (const program of this.programs.values()) {
+			program.kill();
+		}
+
+		for (const helper of this.#helpers.values()) {
+			helper.signal('SIGKILL');
 		}
 	}
 
-	get #helpers(): HelperProcess[] {
-		return [...this.#workers.values(), this.#store, this.#instances].filter(helper => helper !== undefined);
+	/** Starts a stand-in; resolves to its address. */
+	async #startHelper(name: string, module: string, argument: unknown = {}): Promise<string> {
+		const helper = new HelperProcess(path.join(testingFolder, module), {argument, logFile: this.#fileOf(`${name}.log`)});
+		this.#helpers.set(name, helper);
+		return helper.readAddress();
 	}
 
 	async #startProgram(name: string, ports: readonly number[]): Promise<void> {
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -79,9 +79,7 @@
 
 	async #followJob(job: Job): Promise<void> {
 		const {id, organisation, steps} = job;
-		this.#events.record({
-			type: 'submitted', at: Date.now(), job: id, organisation, steps: [...steps],
-		});
+		this.#events.record('submitted', {job: id, organisation, steps: [...steps]});
 		this.counts.submitted++;
 		if (!await this.#submit(job)) {
 			this.counts.refused++;
@@ -126,8 +124,8 @@
 		const answer = await this.#callers.call({
 			method, address, key, job: job.id, steps: job.steps,
 		});
-		this.#events.record({
-			type: 'answered', at: Date.now(), sentAt, method, job: job.id, key, ...answer,
+		this.#events.record('answered', {
+			sentAt, method, job: job.id, key, ...answer,
 		});
 		return answer;
 	}
