Let callers give up on refusals, and lose answers for longer than callers wait

Change: callers give up after one to four attempts; a job must not run before a submission that may have been accepted; the store loses answers for up to 4.5 s.

--- a/packages/soak/src/check-answers.test.ts
+++ b/packages/soak/src/check-answers.test.ts
@@ -21,6 +21,11 @@
 	{guardsAgainst: 'an alarm about a completed job', events: [answer('submit', 503), answer('submit', 200), start, answer('read', 200, {state: 'completed'})], rules: []},
 	{guardsAgainst: 'an alarm about a cancelled job', events: [answer('submit', 200), answer('cancel', 504), answer('read', 200, {state: 'cancelled'})], rules: []},
 	{guardsAgainst: 'a refused job that runs', events: [answer('submit', 503), answer('submit', 429), start], rules: ['refused-ran']},
+	{
+		guardsAgainst: 'a refused job that runs before its caller repeats the submission',
+		events: [answer('submit', 503), start, answer('submit', 200, {sentAt: 31, at: 40}), answer('read', 200, {state: 'completed'})],
+		rules: ['refused-ran'],
+	},
 	{guardsAgainst: 'an alarm about a job whose outcome was reported as unknown', events: [answer('submit', 504), answer('submit', 503), start], rules: []},
 	{guardsAgainst: 'an alarm about a job whose answer was lost', events: [answer('submit', 0), start], rules: []},
 	{
--- a/packages/soak/src/check-answers.ts
+++ b/packages/soak/src/check-answers.ts
@@ -46,8 +46,10 @@
 function checkJob(job: string, calls: readonly Answer[], options: {startedAt: number | undefined; endedAt: number}): Violation[] {
 	const {startedAt, endedAt} = options;
 	const submissions = calls.filter(({method}) => method === 'submit');
-	if (startedAt !== undefined && submissions.every(({status}) => refusalStatuses.has(status))) {
-		return [{rule: 'refused-ran', at: startedAt, text: `${job} runs although each submission was refused: ${submissions.map(({status}) => status).join(', ')}`}];
+	// Only from the first submission on that may have been accepted may the job run.
+	const mayRunFrom = submissions.find(({status}) => !refusalStatuses.has(status))?.sentAt ?? Number.POSITIVE_INFINITY;
+	if (startedAt !== undefined && startedAt < mayRunFrom) {
+		return [{rule: 'refused-ran', at: startedAt, text: `${job} runs although each submission before was refused: ${submissions.map(({status}) => status).join(', ')}`}];
 	}
 
 	if (!submissions.some(({status}) => status === 200)) {
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -55,7 +55,8 @@
 	'store-refuses': {hits: store, durationMs: [300, 4000]},
 	'store-refuses-writes': {hits: store, durationMs: [300, 4000]},
 	'store-silent': {hits: store, durationMs: [300, 4000]},
-	'store-loses-answers': {hits: store, durationMs: [200, 1500], weight: 2},
+	// Beyond the deadline of callers (3 s), until which the program repeats a transaction whose answer was lost.
+	'store-loses-answers': {hits: store, durationMs: [200, 4500], weight: 2},
 	'store-answers-late': {hits: store, durationMs: [300, 3000]},
 	'store-loses-history': {hits: store, durationMs: [0, 0], comesInSeries: true},
 	'configuration-changed': {hits: store, durationMs: [0, 0], comesInSeries: true},
--- a/packages/soak/src/soak-load.ts
+++ b/packages/soak/src/soak-load.ts
@@ -11,8 +11,8 @@
 const intervalMs = 400;
 const overloadFactor = 8;
 
-/** Attempts to submit a job, each at another process, and the pause between them. */
-const submissionAttempts = 4;
+/** Most attempts to submit a job, each at another process, and the pause between them. Some callers give up after the first one. */
+const mostAttempts = 4;
 const retryMs = 500;
 
 /** Interval at which a caller reads the state of its job; ended jobs can be read for at least 60 s. */
@@ -24,7 +24,7 @@
 
 const finalStates = new Set(['completed', 'failed', 'cancelled']);
 
-type Job = {readonly id: string; readonly organisation: Organisation; readonly steps: readonly SubmittedStep[]; readonly isCancelled: boolean; nextProcess: number};
+type Job = {readonly id: string; readonly organisation: Organisation; readonly steps: readonly SubmittedStep[]; readonly isCancelled: boolean; readonly attempts: number; nextProcess: number};
 
 /** Callers of all organisations: they submit jobs at any process, repeat calls whose outcome is unknown, cancel some jobs and read the state of accepted ones until they end. */
 export class SoakLoad {
@@ -103,7 +103,7 @@
 	}
 
 	async #submit(job: Job): Promise<boolean> {
-		for (let attempt = 0; attempt < submissionAttempts; attempt++) {
+		for (let attempt = 0; attempt < job.attempts; attempt++) {
 			const {status} = await this.#call('submit', job);
 			if (status === 200) {
 				return true;
@@ -146,6 +146,6 @@
 		allowDuplicates,
 	}));
 	return {
-		id, organisation, steps, isCancelled: uniformInt(random, 1, 100) <= cancelledPercent, nextProcess: uniformInt(random, 0, 99),
+		id, organisation, steps, isCancelled: uniformInt(random, 1, 100) <= cancelledPercent, attempts: uniformInt(random, 1, mostAttempts), nextProcess: uniformInt(random, 0, 99),
 	};
 }
