Measure readiness and usage again only after a change

Each round of placement, some hundred a second in a burst, looked at all groups of all jobs and all tasks of all workers. Change: jobs keep whether they have ready tasks, and workers what organisations use of them, until their tasks change.

--- a/packages/core/src/jobs/order/measure-usage.ts
+++ b/packages/core/src/jobs/order/measure-usage.ts
@@ -43,15 +43,36 @@
 			usage.capacity = addResources(usage.capacity, worker.used);
 		}
 
-		addUsage(usage, worker);
+		for (const [organisation, used] of measureWorker(worker)) {
+			addUsage(usage.usedByOrganisation, organisation, used);
+		}
 	}
 
 	return usages;
 }
 
-function addUsage({usedByOrganisation}: ServiceUsage, {tasks}: Worker): void {
-	for (const {group} of tasks) {
-		const {organisation} = group.job.definition;
-		usedByOrganisation.set(organisation, addResources(usedByOrganisation.get(organisation) ?? nothing, getReservedResources(group.definition)));
+/** Measures what each organisation uses of a worker, again only after a task was assigned to it or released. */
+function measureWorker(worker: Worker): ReadonlyMap<string, Resources> {
+	if (worker.measuredUsage?.used !== worker.used) {
+		const byOrganisation = new Map<string, Resources>();
+		for (const {group} of worker.tasks) {
+			addUsage(byOrganisation, group.job.definition.organisation, getReservedResources(group.definition));
+		}
+
+		worker.measuredUsage = {used: worker.used, byOrganisation};
+	}
+
+	return worker.measuredUsage.byOrganisation;
+}
+
+function addUsage(usedByOrganisation: Map<string, Resources>, organisation: string, used: Resources): void {
+	const sum = usedByOrganisation.get(organisation);
+	if (sum === undefined) {
+		usedByOrganisation.set(organisation, {...used});
+		return;
 	}
+
+	sum.cpuMillis += used.cpuMillis;
+	sum.memoryMb += used.memoryMb;
+	sum.accelerators += used.accelerators;
 }
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -15,6 +15,7 @@
 import {getReservedResources} from './get-reserved-resources.js';
 import {reserveWorker} from './reserve-worker.js';
 import {type OrderBudget, placeIsolatedGroups} from './place-isolated-groups.js';
+import {hasReadyTasks} from './has-ready-tasks.js';
 import {placeGroup} from './place-group.js';
 import {type RackForecasts} from './rack-forecast.js';
 import {updateDataWait} from './update-data-wait.js';
@@ -42,17 +43,7 @@
 	const {scheduler, now} = context;
 	const unreconciledServices = listUnreconciledServices(scheduler, now);
 	scheduler.unreconciledByOrganisation = unreconciledServices.size === 0 ? noUnreconciledUsage : measureUnreconciledUsage(scheduler, now, job => mayStillRun(scheduler, job, unreconciledServices));
-	const waiting: ActiveJob[] = [];
-	for (const job of scheduler.jobs.values()) {
-		if (job.cancelled || job.end !== undefined || (job.recovered && mayStillRun(scheduler, job, unreconciledServices))) {
-			continue;
-		}
-
-		if (hasReadyGroups(job)) {
-			waiting.push(job);
-		}
-	}
-
+	const waiting = listWaitingJobs(scheduler, unreconciledServices);
 	const budget = {orders: scheduler.orderWindow.size - countOpenOrders(scheduler)};
 	if (waiting.length === 0 || budget.orders <= 0) {
 		scheduler.contention.clear();
@@ -92,6 +83,22 @@
 	}
 }
 
+/** Jobs with tasks that can be placed. A recovered job waits while a former owner may have started its tasks unseen. */
+function listWaitingJobs(scheduler: Scheduler, unreconciledServices: ReadonlySet<string>): ActiveJob[] {
+	const waiting: ActiveJob[] = [];
+	for (const job of scheduler.jobs.values()) {
+		if (job.cancelled || job.end !== undefined || (job.recovered && mayStillRun(scheduler, job, unreconciledServices))) {
+			continue;
+		}
+
+		if (hasReadyTasks(job)) {
+			waiting.push(job);
+		}
+	}
+
+	return waiting;
+}
+
 /** Services of workers that may run tasks of a former owner and have not answered yet. */
 function listUnreconciledServices(scheduler: Scheduler, now: number): Set<string> {
 	const services = new Set<string>();
@@ -109,18 +116,6 @@
 	return unreconciledServices.has(unknownService) || unreconciledServices.has(job.definition.service) || unreconciledServices.has(findQueuePolicy(scheduler, job).service);
 }
 
-function hasReadyGroups(job: ActiveJob): boolean {
-	for (const steps of job.occurrences.values()) {
-		for (const step of steps) {
-			if (isStepReady(steps, step) && step.groups.some(group => isUnassigned(group))) {
-				return true;
-			}
-		}
-	}
-
-	return false;
-}
-
 /** Places as many tasks of a job as possible and returns the first group of each step that does not fit. */
 function placeJob(context: ReducerContext, job: ActiveJob, options: RoundOptions): TaskGroup[] {
 	const {workers} = options;
--- a/packages/core/src/jobs/state/create-active-job.ts
+++ b/packages/core/src/jobs/state/create-active-job.ts
@@ -26,5 +26,6 @@
 		changes: 0,
 		outlook: undefined,
 		dataWait: undefined,
+		readiness: undefined,
 	};
 }
--- a/packages/core/src/jobs/state/create-worker.ts
+++ b/packages/core/src/jobs/state/create-worker.ts
@@ -24,6 +24,7 @@
 		clockReadAt: now,
 		leaseUntilMs: 0,
 		used: {cpuMillis: 0, memoryMb: 0, accelerators: 0},
+		measuredUsage: undefined,
 		tasks: new Set(),
 		reportPending: false,
 		reportDueAt: now,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -82,7 +82,10 @@
 	clockReadAt: number;
 	/** Latest expiry of a lease granted to the worker, on the worker's clock. */
 	leaseUntilMs: number;
+	/** Resources reserved by its tasks; a new object after each change. */
 	used: Resources;
+	/** What each organisation uses of it, and the value of `used` when this was measured. */
+	measuredUsage: {readonly used: Resources; readonly byOrganisation: ReadonlyMap<string, Resources>} | undefined;
 	readonly tasks: Set<Task>;
 	reportPending: boolean;
 	reportDueAt: number;
@@ -225,6 +228,8 @@
 	outlook: JobOutlook | undefined;
 	/** Wait for capacity near its data; undefined if it has not waited. */
 	dataWait: DataWait | undefined;
+	/** Whether it had tasks to place, and the number of changes to its tasks then. */
+	readiness: {readonly changes: number; readonly hasReadyTasks: boolean} | undefined;
 };
 
 /** Demand on a pool in thousandths of a core, of jobs that have just arrived and of running long-running tasks, whether or not the pool has room for it. */
