--- a/packages/core/src/jobs/estimates/estimate-far-ratio.test.ts
+++ b/packages/core/src/jobs/estimates/estimate-far-ratio.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createBurstPattern} from '../pools/create-burst-pattern.js';
 import {createEstimates} from './create-estimates.js';
 import {encodeSummary} from './encode-summary.js';
 import {estimateFarRatio} from './estimate-far-ratio.js';
@@ -43,7 +44,7 @@
 	it('guards against losing the ratio at a takeover', () => {
 		const former = learn(createEstimates({farRatio: 2}), Array.from({length: 32}, () => 3));
 		const next = createEstimates({farRatio: 2});
-		restoreSummary(next, encodeSummary(former), 0);
+		restoreSummary({estimates: next, burstPattern: createBurstPattern()}, encodeSummary(former), {now: 0, timeOfDay: 0});
 		assertNear(estimateFarRatio(next), 3);
 	});
 });
