--- /dev/null
+++ b/packages/daemon/src/jobs/compute-tick-delay.ts
@@ -0,0 +1,22 @@
+/** Shortest delay: events that arrive within this time are followed by a single tick. */
+const shortestDelayMs = 3;
+
+/** Longest delay, the interval of ticks without events. */
+const longestDelayMs = 40;
+
+/** Pause after a tick as a multiple of its duration, so that ticks take at most a quarter of the processor time. */
+const pauseFactor = 3;
+
+/**
+ * Computes how long after an event the next tick follows. Answers bursts that exceed the capacity: reports and answers then
+ * cause some hundred events a second, and a tick, which orders and places all waiting jobs, takes several milliseconds on a
+ * small instance. Without a pause, ticks took the processor time that orders and reports need.
+ *
+ * @param previousTickMs - duration of the previous tick in milliseconds
+ * @returns delay in milliseconds
+ * @example
+ * computeTickDelay(5); // 15
+ */
+export function computeTickDelay(previousTickMs: number): number {
+	return Math.min(longestDelayMs, Math.max(shortestDelayMs, previousTickMs * pauseFactor));
+}
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -13,6 +13,7 @@
 import {type View} from '@rosemaryquay/core/jobs/views/view-schema';
 import {type Change, type Listing} from '@rosemaryquay/core/store/transaction';
 import {type Logger} from '../create-logger.js';
+import {computeTickDelay} from './compute-tick-delay.js';
 import {decodeUnfinishedJobs} from './decode-unfinished-jobs.js';
 import {followPrefix} from './follow-prefix.js';
 import {
@@ -34,9 +35,6 @@
 /** Longest interval between two `ticked` events, on which the scheduler does what is due. */
 const tickIntervalMs = 40;
 
-/** Debounce: events that arrive within this time are followed by a single `ticked` event. */
-const tickDelayMs = 3;
-
 /** Delay before a failed read of the store is repeated at a takeover. */
 const loadRetryDelayMs = 100;
 
@@ -68,6 +66,8 @@
 	#scheduler: Scheduler | undefined;
 	#tickInterval: NodeJS.Timeout | undefined;
 	#pendingTick: NodeJS.Timeout | undefined;
+	/** Duration of the last tick in milliseconds. */
+	#tickMs = 0;
 	#isStopped = false;
 
 	constructor(options: Options) {
@@ -160,13 +160,17 @@
 			this.#perform(reduceScheduler(this.#scheduler, deferred, this.#readClocks()));
 		}
 
+		const startedAt = performance.now();
 		this.#perform(reduceScheduler(this.#scheduler, event, this.#readClocks()));
-		if (event.type !== 'ticked') {
-			this.#pendingTick ??= setTimeout(() => {
-				this.#pendingTick = undefined;
-				this.dispatch({type: 'ticked'});
-			}, tickDelayMs);
+		if (event.type === 'ticked') {
+			this.#tickMs = performance.now() - startedAt;
+			return;
 		}
+
+		this.#pendingTick ??= setTimeout(() => {
+			this.#pendingTick = undefined;
+			this.dispatch({type: 'ticked'});
+		}, computeTickDelay(this.#tickMs));
 	}
 
 	#readClocks(): EventTime {
