Check live runs only when a task starts in the model

Cause: the invariant checker kept an entry for each task that had ever run and resolved all of them at each start: 68 % of the time of a simulation of pools in turn, growing with the square of its length. Change: entries of tasks without live runs and without kept ends are removed, and the definition of a task is looked up once. The checks are the same.

--- a/packages/testing/src/jobs/invariant-checker.ts
+++ b/packages/testing/src/jobs/invariant-checker.ts
@@ -42,6 +42,8 @@
 	readonly firstStartedAt = new Map<string, number>();
 	readonly #workers = new Map<string, ListedWorker>();
 	readonly #jobs = new Map<string, Job>();
+	/** Tasks resolved so far, by id; the definition of a job does not change. */
+	readonly #contexts = new Map<string, TaskContext>();
 	readonly #cancelledAt = new Map<string, number>();
 	readonly #liveRuns = new Map<string, LiveRun[]>();
 	/** Runs that ended with the outcome `done`, by task. */
@@ -126,7 +128,14 @@
 	taskEnded(worker: string, task: string, run: number, end: TaskOutcome, at: number): void {
 		const startedAt = this.#liveRuns.get(task)?.find(live => live.worker === worker && live.run === run)?.startedAt ?? at;
 		this.wastedWork += end === 'done' && !this.#doneRuns.has(task) ? 0 : (at - startedAt) * (this.#resolveTask(task)?.definition.cpuMillis ?? 0);
-		this.#liveRuns.set(task, (this.#liveRuns.get(task) ?? []).filter(live => live.worker !== worker || live.run !== run));
+		const others = (this.#liveRuns.get(task) ?? []).filter(live => live.worker !== worker || live.run !== run);
+		// Every start looks at all live runs; entries of ended tasks would make that quadratic in the length of the simulation.
+		if (others.length === 0) {
+			this.#liveRuns.delete(task);
+		} else {
+			this.#liveRuns.set(task, others);
+		}
+
 		if (end === 'done') {
 			this.#doneRuns.set(task, [...this.#doneRuns.get(task) ?? [], run]);
 			this.#keptDoneRuns.set(task, [...this.#keptDoneRuns.get(task) ?? [], {worker, run, startedAt}]);
@@ -139,7 +148,12 @@
 				this.#restartedBeforeConfirmation.delete(`${task} ${lost.run}`);
 			}
 
-			this.#keptDoneRuns.set(task, runs.filter(run => run.worker !== worker));
+			const kept = runs.filter(run => run.worker !== worker);
+			if (kept.length === 0) {
+				this.#keptDoneRuns.delete(task);
+			} else if (kept.length < runs.length) {
+				this.#keptDoneRuns.set(task, kept);
+			}
 		}
 	}
 
@@ -193,6 +207,15 @@
 	}
 
 	#resolveTask(task: string): TaskContext | undefined {
+		const resolved = this.#contexts.get(task) ?? this.#parseTask(task);
+		if (resolved !== undefined) {
+			this.#contexts.set(task, resolved);
+		}
+
+		return resolved;
+	}
+
+	#parseTask(task: string): TaskContext | undefined {
 		const [id = '', occurrence = '', step] = task.split('.');
 		const job = this.#jobs.get(id);
 		const definition = job?.steps[Number(step)];
