--- a/packages/core/src/jobs/estimates/encode-summary.ts
+++ b/packages/core/src/jobs/estimates/encode-summary.ts
@@ -1,3 +1,4 @@
+import {type StoredBursts} from '../pools/stored-bursts.js';
 import {type Estimates} from './estimates.js';
 
 /** Largest size of the summary in bytes; the limit of its store entry is 8 kB. */
@@ -5,16 +6,20 @@
 
 /**
  * Encodes what was learned for the next owner of the schedule: the latest sketches, as count, median and spread, and the
- * slow instances. What exceeds the size is left out, the oldest first.
+ * slow instances, and the bursts of the pools. What exceeds the size is left out, the oldest first.
  *
  * @param estimates - the state
+ * @param bursts - stored form of the bursts of the pools, if there were any
  * @returns the summary, at most 8 kB
  * @example
  * encodeSummary(scheduler.estimates);
  */
-export function encodeSummary({sketches, speeds}: Estimates): string {
+export function encodeSummary({sketches, speeds}: Estimates, bursts?: StoredBursts): string {
 	const slow: string[] = [];
-	let {length} = '{"sketches":[],"slow":[]}';
+	let {length} = '{"sketches":[],"slow":[],"bursts":}';
+	// More than a quarter would displace the sketches of jobs, which all pools depend on.
+	const keptBursts = measureBytes(bursts ?? {}) <= maximumLength / 4 ? bursts : undefined;
+	length += measureBytes(keptBursts ?? {});
 	for (const [instance, {isSlow}] of speeds) {
 		const size = measureBytes(instance);
 		if (isSlow && length + size <= maximumLength / 2) {
@@ -35,7 +40,7 @@
 		length += size;
 	}
 
-	return JSON.stringify({sketches: rows.toReversed(), slow});
+	return JSON.stringify({sketches: rows.toReversed(), slow, bursts: keptBursts});
 }
 
 function round(value: number): number {
--- a/packages/core/src/jobs/estimates/restore-summary.ts
+++ b/packages/core/src/jobs/estimates/restore-summary.ts
@@ -1,4 +1,6 @@
 import {z} from 'zod';
+import {type BurstPattern} from '../pools/burst-pattern.js';
+import {restoreBursts} from '../pools/restore-bursts.js';
 import {createSketch} from './create-sketch.js';
 import {type Estimates} from './estimates.js';
 import {addSample} from './add-sample.js';
@@ -6,6 +8,7 @@
 const summarySchema = z.object({
 	sketches: z.array(z.tuple([z.string(), z.int().min(1), z.number(), z.number().min(0)])),
 	slow: z.array(z.string()),
+	bursts: z.unknown().optional(),
 });
 
 /** Samples that a restored sketch counts for at most; the present owner's samples soon outweigh them. */
@@ -17,14 +20,15 @@
 /**
  * Restores what the former owner has learned. A summary that can't be read is ignored.
  *
- * @param estimates - the state of the new owner; changed
+ * @param owner - what the new owner has learned and its bursts of the pools; changed
  * @param summary - the stored summary; undefined if there is none
- * @param now - local time in milliseconds
+ * @param time - local time and time of day in milliseconds
  * @returns false if there is a summary and it can't be read
  * @example
- * restoreSummary(scheduler.estimates, stored.estimates, now);
+ * restoreSummary(scheduler, stored.estimates, {now, timeOfDay});
  */
-export function restoreSummary(estimates: Estimates, summary: string | undefined, now: number): boolean {
+export function restoreSummary(owner: {readonly estimates: Estimates; readonly burstPattern: BurstPattern}, summary: string | undefined, time: {now: number; timeOfDay: number}): boolean {
+	const {estimates, burstPattern} = owner;
 	if (summary === undefined) {
 		return true;
 	}
@@ -49,11 +53,11 @@
 
 	for (const instance of parsed.data.slow) {
 		estimates.speeds.set(instance, {
-			evidence: 0, suspectedAt: undefined, ratios: [], judgedAt: Number.NEGATIVE_INFINITY, ratio: 0, drift: undefined, isSlow: true, allowance: 1, pausedUntil: 0, slowAt: now,
+			evidence: 0, suspectedAt: undefined, ratios: [], judgedAt: Number.NEGATIVE_INFINITY, ratio: 0, drift: undefined, isSlow: true, allowance: 1, pausedUntil: 0, slowAt: time.now,
 		});
 	}
 
-	return true;
+	return restoreBursts(burstPattern, parsed.data.bursts, time);
 }
 
 function parseJson(text: string): unknown {
--- a/packages/core/src/jobs/estimates/summary.test.ts
+++ b/packages/core/src/jobs/estimates/summary.test.ts
@@ -1,10 +1,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createBurstPattern} from '../pools/create-burst-pattern.js';
 import {createEstimates} from './create-estimates.js';
 import {encodeSummary} from './encode-summary.js';
 import {learnSample} from './learn-sample.js';
 import {restoreSummary} from './restore-summary.js';
 
+const time = {now: 0, timeOfDay: 1_000_000};
+
 describe('summary of the estimates', () => {
 	it('guards against losing at a takeover what the former owner has learned', () => {
 		const former = createEstimates();
@@ -13,7 +16,7 @@
 		}
 
 		const next = createEstimates();
-		assert.equal(restoreSummary(next, encodeSummary(former), 0), true);
+		assert.equal(restoreSummary({estimates: next, burstPattern: createBurstPattern()}, encodeSummary(former), time), true);
 		const [before, after] = [former.sketches.get('p plans 0'), next.sketches.get('p plans 0')];
 		assert.ok(before !== undefined && after !== undefined);
 		assert.ok(Math.abs(before.median - after.median) < 0.01);
@@ -24,11 +27,11 @@
 	it('guards against a takeover that fails because of an unreadable summary', () => {
 		for (const summary of ['', '{', '[]', '{"sketches":[["a",0,1,1]],"slow":[]}', '{"sketches":[["a",1,"x",1]],"slow":[]}', 'null']) {
 			const estimates = createEstimates();
-			assert.equal(restoreSummary(estimates, summary, 0), false, summary);
+			assert.equal(restoreSummary({estimates, burstPattern: createBurstPattern()}, summary, time), false, summary);
 			assert.equal(estimates.sketches.size, 0);
 		}
 
-		assert.equal(restoreSummary(createEstimates(), undefined, 0), true);
+		assert.equal(restoreSummary({estimates: createEstimates(), burstPattern: createBurstPattern()}, undefined, time), true);
 	});
 
 	it('guards against a summary beyond 8 kB, also with long names of several bytes a character', () => {
--- a/packages/core/src/jobs/pools/burst-pattern.ts
+++ b/packages/core/src/jobs/pools/burst-pattern.ts
@@ -1,7 +1,7 @@
 /** Latest burst of a pool. Times are local times in milliseconds, `peak` is in thousandths of a core. */
 export type Burst = {isActive: boolean; startedAt: number; endedAt: number; peak: number};
 
-/** Bursts of the pools, in turn. It is lost at a takeover and learned again. */
+/** Bursts of the pools, in turn. A takeover keeps what the stored summary of the estimates contains. */
 export type BurstPattern = {
 	/** Latest burst of each pool that has had one. */
 	readonly pools: Map<string, Burst>;
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -1,3 +1,4 @@
+import {createBurstPattern} from '../pools/create-burst-pattern.js';
 import {defaultPoolPolicy} from '../pools/pool-policy.js';
 import {createEstimates} from '../estimates/create-estimates.js';
 import {restoreSummary} from '../estimates/restore-summary.js';
@@ -12,6 +13,8 @@
 	/** Number of this ownership; each owner has a higher one than its predecessors. */
 	term: number;
 	now: number;
+	/** Time of day in milliseconds, to which stored times refer; the local time by default. */
+	timeOfDay?: number;
 	configuration: Configuration;
 	/** Workers that may run tasks of former owners. */
 	holders?: readonly LeaseHolder[];
@@ -35,7 +38,7 @@
  * createScheduler({term: 1, now: 0, configuration});
  */
 export function createScheduler(options: Options): Scheduler {
-	const {term, now, configuration, holders = [], leaseMs = taskLeaseMs, longestLeaseMs = longestTaskLeaseMs, stopMs = 1000, earlyMs = 250} = options;
+	const {term, now, timeOfDay = now, configuration, holders = [], leaseMs = taskLeaseMs, longestLeaseMs = longestTaskLeaseMs, stopMs = 1000, earlyMs = 250} = options;
 	const scheduler: Scheduler = {
 		term,
 		tookOverAt: now,
@@ -75,9 +78,7 @@
 		instanceListRequestedAt: Number.NEGATIVE_INFINITY,
 		poolLoads: new Map(),
 		poolPolicy: defaultPoolPolicy,
-		burstPattern: {
-			pools: new Map(), intervals: [], lastStartedAt: undefined, streak: 0,
-		},
+		burstPattern: createBurstPattern(),
 		moves: new Map(),
 		drains: new Map(),
 		movesDueAt: 0,
@@ -85,7 +86,7 @@
 		dirtyWaves: new Set(),
 		estimates: createEstimates(),
 	};
-	restoreSummary(scheduler.estimates, options.estimates, now);
+	restoreSummary(scheduler, options.estimates, {now, timeOfDay});
 	for (const holder of holders) {
 		const worker = createWorker({...holder, now});
 		worker.recordedAsHolder = true;
--- a/packages/core/src/jobs/state/write-progress.ts
+++ b/packages/core/src/jobs/state/write-progress.ts
@@ -1,6 +1,7 @@
 import {findAcknowledgeableEnd} from '../runs/find-acknowledgeable-end.js';
 import {listStoredCrashes} from '../crashes/list-stored-crashes.js';
 import {encodeSummary} from '../estimates/encode-summary.js';
+import {encodeBursts} from '../pools/encode-bursts.js';
 import {commitIntervalMs, estimatesIntervalMs} from './constants.js';
 import {type StoreWrite} from './effect.js';
 import {type Progress} from './job-schema.js';
@@ -48,7 +49,7 @@
 	if (scheduler.estimates.isDirty && now >= scheduler.estimates.summaryDueAt) {
 		scheduler.estimates.isDirty = false;
 		scheduler.estimates.summaryDueAt = now + estimatesIntervalMs;
-		writes.push({type: 'estimates', summary: encodeSummary(scheduler.estimates)});
+		writes.push({type: 'estimates', summary: encodeSummary(scheduler.estimates, encodeBursts(scheduler.burstPattern, {now, timeOfDay}))});
 	}
 
 	scheduler.commitNumber++;
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -196,6 +196,7 @@
 		return createScheduler({
 			term: this.#options.grant.term,
 			now: performance.now(),
+			timeOfDay: Date.now(),
 			configuration,
 			holders,
 			estimates,
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -294,7 +294,7 @@
 		this.#fence++;
 		// The scheduler allows 400 ms for a stop; the modelled workers stop a task within 200 ms.
 		const scheduler = createScheduler({
-			term: this.#fence, now: this.now, configuration: this.#configuration, holders: this.#store.holders, estimates: this.#store.estimates, stopMs: 400,
+			term: this.#fence, ...this.#eventTime(), configuration: this.#configuration, holders: this.#store.holders, estimates: this.#store.estimates, stopMs: 400,
 		});
 		this.owner = {
 			fence: this.#fence, scheduler, isAlive: true, pausedUntil: 0,
