Plan all pools together, from the learned shape of bursts

Cause: quiet pools kept an equal minimum whatever their jobs need; a rise was extrapolated without a bound; the size of a pool followed the demand in steps; the pool with the largest shortage was served first, whatever its urgency. Change: one pure plan over all pools by urgency, a first step of the learned height when arrivals show a burst, reserves from objective and critical path, forecasts bounded by the learned height.

--- a/packages/core/src/jobs/pools/create-burst-pattern.ts
+++ b/packages/core/src/jobs/pools/create-burst-pattern.ts
@@ -9,6 +9,6 @@
  */
 export function createBurstPattern(): BurstPattern {
 	return {
-		pools: new Map(), intervals: [], lastStartedAt: undefined, streak: 0,
+		pools: new Map(), profiles: new Map(), intervals: [], lastStartedAt: undefined, streak: 0,
 	};
 }
--- a/packages/core/src/jobs/pools/encode-bursts.ts
+++ b/packages/core/src/jobs/pools/encode-bursts.ts
@@ -12,14 +12,15 @@
  * encodeBursts(scheduler.burstPattern, {now, timeOfDay});
  */
 export function encodeBursts(pattern: BurstPattern, {now, timeOfDay}: {now: number; timeOfDay: number}): StoredBursts | undefined {
-	const {pools, intervals, lastStartedAt, streak} = pattern;
+	const {pools, profiles, intervals, lastStartedAt, streak} = pattern;
 	if (lastStartedAt === undefined) {
 		return undefined;
 	}
 
 	const convertTime = (time: number): number => Math.round(time - now + timeOfDay);
 	return {
-		pools: [...pools].map(([name, {isActive, startedAt, endedAt, peak}]) => [name, isActive, convertTime(startedAt), convertTime(endedAt), Math.round(peak)]),
+		pools: [...pools].map(([name, {isActive, startedAt, endedAt, peak, height, step}]) => [name, isActive, convertTime(startedAt), convertTime(endedAt), Math.round(peak), Math.round(height), Math.round(step)]),
+		profiles: [...profiles].map(([name, {criticalPathMs, slackMs, work, quietArrivals, quietMs}]) => [name, Math.round(criticalPathMs), Math.round(slackMs), Math.round(work), Math.round(quietArrivals * 100) / 100, Math.round(quietMs)]),
 		intervals: intervals.map(interval => Math.round(interval)),
 		lastStartedAt: convertTime(lastStartedAt),
 		streak,
--- a/packages/core/src/jobs/pools/forecast-demand.ts
+++ b/packages/core/src/jobs/pools/forecast-demand.ts
@@ -13,13 +13,13 @@
  * Forecasts the demand on a pool by extrapolating its rise over the last second. A falling demand is not extrapolated.
  *
  * @param previous - the previous forecast, if there is one
- * @param measured - current demand in thousandths of a core, number of jobs that have just arrived, and local time in milliseconds
+ * @param measured - current demand in thousandths of a core, number of jobs that have just arrived, demand to which the rise is extrapolated at most, and local time in milliseconds
  * @returns the smoothed demand and the forecast
  * @example
  * forecastDemand(undefined, {currentDemand: 4000, arrivals: 3, now}).forecast; // 4000
  */
-export function forecastDemand(previous: Demand | undefined, measured: {currentDemand: number; arrivals: number; now: number}): Demand {
-	const {currentDemand, arrivals, now} = measured;
+export function forecastDemand(previous: Demand | undefined, measured: {currentDemand: number; arrivals: number; now: number; bound?: number | undefined}): Demand {
+	const {currentDemand, arrivals, now, bound = Number.POSITIVE_INFINITY} = measured;
 	if (previous === undefined) {
 		return {measuredAt: now, smoothed: currentDemand, forecast: currentDemand};
 	}
@@ -27,5 +27,5 @@
 	const weight = 1 - Math.exp((previous.measuredAt - now) / smoothingMs);
 	const smoothed = previous.smoothed + ((currentDemand - previous.smoothed) * weight);
 	const rise = arrivals < minimumTrendArrivals ? 0 : Math.max(0, currentDemand - smoothed);
-	return {measuredAt: now, smoothed, forecast: currentDemand + (rise * horizonMs / smoothingMs)};
+	return {measuredAt: now, smoothed, forecast: Math.max(currentDemand, Math.min(bound, currentDemand + (rise * horizonMs / smoothingMs)))};
 }
--- a/packages/core/src/jobs/pools/measure-pools.ts
+++ b/packages/core/src/jobs/pools/measure-pools.ts
@@ -4,10 +4,16 @@
 import {getReservedResources} from '../placement/get-reserved-resources.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {classifyLateness} from '../order/classify-lateness.js';
+import {estimateWork} from '../estimates/estimate-work.js';
 import {estimateDuration} from '../estimates/estimate-duration.js';
-import {type PoolLoad, type StepState, type Worker} from '../state/scheduler.js';
+import {
+	type ActiveJob, type PoolLoad, type Scheduler, type StepState, type Worker,
+} from '../state/scheduler.js';
 import {measureArrivingDemand} from './measure-arriving-demand.js';
 import {measureReserves} from './measure-reserves.js';
+import {detectOnset} from './detect-onset.js';
+import {estimateBurstHeight} from './estimate-burst-height.js';
+import {learnArrivals} from './learn-arrivals.js';
 import {observeBurst} from './observe-burst.js';
 import {forecastDemand} from './forecast-demand.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
@@ -27,6 +33,25 @@
 /** Lateness class from which a job does not count towards the backlog. */
 const ignoredLateness = 2;
 
+/** Time for which the arrivals of a pool are examined for the start of a burst. */
+const onsetWindowMs = 2000;
+
+/** Time for which the first step of a burst counts as its demand: until the instances have arrived and the measured demand shows its height. */
+const firstStepMs = 2000;
+
+/** Factor by which the first step exceeds the learned height: the moves are under way when the next arrivals show whether it suffices, and what is missing then comes one move later. */
+const firstStepFactor = 1.2;
+
+/** Factor by which the demand of a few arrivals may be below that of the burst which they begin. */
+const maximumOnsetError = 2;
+
+/** Factor by which a forecast may exceed the learned height; without headroom, a burst that is higher than the last ones is followed one move later. */
+const forecastHeadroom = 1.6;
+
+/** Arrivals assumed before any are known, one in 2 s, with the weight of a few seconds. */
+const assumedQuietArrivals = 2;
+const assumedQuietMs = 4000;
+
 const noDemand = {measuredAt: 0, smoothed: 0, forecast: 0};
 
 /** Demand in thousandths of a core and number of recently arrived jobs, by service. */
@@ -46,25 +71,33 @@
 	for (const {name, spare} of scheduler.configuration.pools) {
 		if (!spare) {
 			pools.set(name, {
-				name, workers: [], capacity: 0, used: 0, usedByLateJobs: 0, backlog: 0, backlogOfLateJobs: 0, lateJobs: new Set(), demand: noDemand, unmetLongRunningNeeds: 0,
+				name, workers: [], capacity: 0, used: 0, usedByLateJobs: 0, backlog: 0, backlogOfLateJobs: 0, lateJobs: new Set(), demand: noDemand, unmetLongRunningNeeds: 0, priority: getPriority(scheduler, name), deferrable: 0,
 			});
 		}
 	}
 
 	const demands: PoolDemands = new Map();
+	const arrivals = new Map<string, ActiveJob[]>();
 	addWorkers(context, pools, demands);
 	const longRunning = new Map([...demands].map(([service, {demand}]) => [service, demand]));
 	addBlockedUpkeeps(context, pools);
-	addJobs(context, pools, demands);
+	addJobs(context, pools, {demands, arrivals});
 	addUsageByLateJobs(pools);
 	const reserves = measureReserves(scheduler, [...pools.keys()], now);
+	const equalShare = measureEqualShare(scheduler, pools.size);
 	for (const pool of pools.values()) {
 		const {demand = 0, count = 0} = demands.get(pool.name) ?? {};
 		const {threshold = Number.POSITIVE_INFINITY, isExpected = true} = reserves.get(pool.name) ?? {};
+		const previous = scheduler.poolLoads.get(pool.name)?.demand;
+		const longRunningDemand = longRunning.get(pool.name) ?? 0;
+		const step = scheduler.poolPolicy.learnsShape ? measureFirstStep(context, pool.name, arrivals.get(pool.name) ?? []) : 0;
+		const forecast = forecastDemand(previous, {
+			currentDemand: demand, arrivals: count, now, bound: scheduler.poolPolicy.learnsShape ? boundForecast(context, pool.name, equalShare) + longRunningDemand : undefined,
+		});
+		pool.demand = {...forecast, forecast: Math.max(forecast.forecast, step + longRunningDemand)};
 		observeBurst(scheduler.burstPattern, pool.name, {
-			demand: demand - (longRunning.get(pool.name) ?? 0), threshold, isExpected, now,
+			demand: demand - longRunningDemand, smoothed: forecast.smoothed - longRunningDemand, threshold, step, isExpected, now,
 		});
-		pool.demand = forecastDemand(scheduler.poolLoads.get(pool.name)?.demand, {currentDemand: demand, arrivals: count, now});
 	}
 
 	return pools;
@@ -99,7 +132,7 @@
 	}
 }
 
-function addJobs(context: ReducerContext, pools: ReadonlyMap<string, PoolLoad>, demands: PoolDemands): void {
+function addJobs(context: ReducerContext, pools: ReadonlyMap<string, PoolLoad>, {demands, arrivals}: {demands: PoolDemands; arrivals: Map<string, ActiveJob[]>}): void {
 	const {scheduler, now} = context;
 	for (const job of scheduler.jobs.values()) {
 		if (job.cancelled || job.end !== undefined) {
@@ -113,6 +146,10 @@
 			continue;
 		}
 
+		if (isArrival(job) && now - job.acceptedAt < onsetWindowMs) {
+			arrivals.set(service, [...arrivals.get(service) ?? [], job]);
+		}
+
 		const lateness = classifyLateness(scheduler, job, now);
 		if (lateness > 0) {
 			pool.lateJobs.add(job);
@@ -129,6 +166,52 @@
 	}
 }
 
+/** Priority of the most urgent queue of a service. */
+function getPriority({configuration}: Scheduler, service: string): number {
+	return Math.min(...configuration.queues.filter(queue => queue.service === service).map(({priority}) => priority), Number.MAX_SAFE_INTEGER);
+}
+
+/** Scheduled jobs and those with long-running tasks start at other times than they arrive. */
+function isArrival({recovered, definition: {repeatCount, steps}}: ActiveJob): boolean {
+	return !recovered && repeatCount === 0 && steps.every(({longRunning}) => !longRunning);
+}
+
+/** Demand in thousandths of a core that a pool should serve at once because its arrivals show that a burst has begun; 0 otherwise. */
+function measureFirstStep({scheduler, now}: ReducerContext, pool: string, jobs: readonly ActiveJob[]): number {
+	const {burstPattern, poolLoads} = scheduler;
+	const measuredAt = poolLoads.get(pool)?.demand.measuredAt ?? Number.NEGATIVE_INFINITY;
+	const profile = learnArrivals(scheduler, pool, {jobs: jobs.filter(({acceptedAt}) => acceptedAt > measuredAt), now});
+	if (profile === undefined) {
+		return 0;
+	}
+
+	const burst = burstPattern.pools.get(pool);
+	if (burst?.isActive) {
+		return now - burst.startedAt < firstStepMs ? burst.step : 0;
+	}
+
+	const quietRate = (profile.quietArrivals + assumedQuietArrivals) / (profile.quietMs + assumedQuietMs);
+	const onset = detectOnset(jobs.map(job => ({at: job.acceptedAt, work: estimateWork(scheduler, job)})), {quietRate, now});
+	const height = estimateBurstHeight(burstPattern, pool, onset * maximumOnsetError);
+	// Jobs that run longer reach their full demand only after the moved instances have arrived.
+	return height === undefined ? onset : height * firstStepFactor * Math.min(1, firstStepMs / Math.max(1, profile.criticalPathMs));
+}
+
+/** Capacity in thousandths of a core that each pool would have if all had the same. */
+function measureEqualShare({instances}: Scheduler, poolCount: number): number {
+	let total = 0;
+	for (const {capacity} of instances.values()) {
+		total += capacity.cpuMillis;
+	}
+
+	return total / Math.max(1, poolCount);
+}
+
+/** Demand in thousandths of a core to which a rise is extrapolated at most: an equal share of all instances, or the height of a burst. */
+function boundForecast({scheduler}: ReducerContext, pool: string, equalShare: number): number {
+	return Math.max(equalShare, (estimateBurstHeight(scheduler.burstPattern, pool) ?? 0) * forecastHeadroom);
+}
+
 function addUsageByLateJobs(pools: ReadonlyMap<string, PoolLoad>): void {
 	for (const pool of pools.values()) {
 		for (const {tasks, listing, used} of pool.workers) {
--- a/packages/core/src/jobs/pools/observe-burst.ts
+++ b/packages/core/src/jobs/pools/observe-burst.ts
@@ -3,6 +3,9 @@
 /** Fraction of the threshold below which a burst has ended; well below 1, so that a demand near the threshold is one burst and not many. */
 const endFraction = 0.5;
 
+/** Time in milliseconds before which a burst does not end; the measured demand rises to its height within about that time. */
+const minimumBurstMs = 600;
+
 /** Intervals between bursts that are kept; few, so that a change of the pattern soon shows. */
 const keptIntervals = 4;
 
@@ -15,16 +18,17 @@
  *
  * @param pattern - bursts of all pools so far; changed
  * @param pool - name of the pool
- * @param measured - demand of arriving jobs and the demand from which it counts as a burst, both in thousandths of a core; whether the pool was expected to be among the next ones; local time in milliseconds
+ * @param measured - demand of arriving jobs and the demand from which it counts as a burst, both in thousandths of a core; smoothed demand, demand to serve at once if the arrivals show the start of a burst, whether the pool was expected to be among the next ones; local time in milliseconds
  * @example
  * observeBurst(pattern, 'planner', {demand: 90_000, threshold: 60_000, isExpected: true, now});
  */
-export function observeBurst(pattern: BurstPattern, pool: string, measured: {demand: number; threshold: number; isExpected: boolean; now: number}): void {
-	const {demand, threshold, isExpected, now} = measured;
+export function observeBurst(pattern: BurstPattern, pool: string, measured: {demand: number; smoothed?: number; threshold: number; step?: number; isExpected: boolean; now: number}): void {
+	const {demand, smoothed = demand, threshold, step = 0, isExpected, now} = measured;
 	const known = pattern.pools.get(pool);
 	if (known?.isActive) {
 		known.peak = Math.max(known.peak, demand);
-		if (demand < threshold * endFraction) {
+		known.height = Math.max(known.height, smoothed);
+		if (demand < threshold * endFraction && now - known.startedAt > minimumBurstMs) {
 			known.isActive = false;
 			known.endedAt = now;
 		}
@@ -32,7 +36,7 @@
 		return;
 	}
 
-	if (demand <= threshold) {
+	if (demand <= threshold && step === 0) {
 		return;
 	}
 
@@ -57,6 +61,6 @@
 
 	pattern.lastStartedAt = now;
 	pattern.pools.set(pool, {
-		isActive: true, startedAt: now, endedAt: now, peak: demand,
+		isActive: true, startedAt: now, endedAt: now, peak: demand, height: smoothed, step,
 	});
 }
--- a/packages/core/src/jobs/pools/plan-moves.ts
+++ b/packages/core/src/jobs/pools/plan-moves.ts
@@ -7,7 +7,9 @@
 import {planDrains} from './plan-drains.js';
 import {measureTimelyNeed} from './measure-timely-need.js';
 import {measurePools} from './measure-pools.js';
-import {measureReserves} from './measure-reserves.js';
+import {type MeasuredPool} from './measured-pools.js';
+import {type Reserve, measureReserves} from './measure-reserves.js';
+import {planPools} from './plan-pools.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
 /** Interval between two plans; a move takes more than a second. */
@@ -19,6 +21,9 @@
 /** Time after which an accepted move that no list of instances has confirmed is dropped. */
 const moveConfirmationTimeoutMs = 6000;
 
+/** Longest time for which the burst of a pool leaves capacity for more urgent queues; a longer one is no turn, and would keep the capacity unused. */
+const longestTurnMs = 10_000;
+
 /**
  * Plans moves of instances between pools. Pools whose backlog or forecast exceeds their capacity get instances from pools
  * with idle ones or from a spare pool; instances that stay idle return to the spare pool. Only instances without tasks move.
@@ -43,33 +48,49 @@
 		return;
 	}
 
-	const shortages = [...pools.values()]
-		.map(pool => ({pool, shortage: measureShortage(context, pool), timelyShortage: measureTimelyShortage(context, pool)}))
-		.filter(({shortage}) => shortage > 0)
-		.toSorted((left, right) => right.timelyShortage - left.timelyShortage || right.shortage - left.shortage);
-	const surplusWorkers = listSurplusWorkers(context, pools);
-	const spareInstances = [...scheduler.instances.values()].filter(instance => sparePools.has(instance.pool) && isMovable(context, instance));
-	for (const {pool, shortage} of shortages) {
-		requestInstances(context, {
-			pool, shortage, surplusWorkers, spareInstances,
-		});
-	}
-
-	fillReserves(context, {pools, surplusWorkers, spareInstances});
-	const timelyShortages = new Map([...pools.values()].map(pool => [pool.name, measureTimelyShortage(context, pool)]));
-	for (const drained of planDrains(context, {pools, shortages: timelyShortages, isMovable: worker => isOnMovableInstance(context, worker)})) {
-		const instance = scheduler.instances.get(drained.instance);
-		if (instance !== undefined) {
-			requestMove(context, instance, drained.pool);
+	const reserves = measureReserves(scheduler, [...pools.keys()], now);
+	const plan = planPools({
+		pools: [...pools.values()].map(pool => measurePool(context, pool, reserves.get(pool.name))),
+		spare: [...scheduler.instances.values()]
+			.filter(instance => sparePools.has(instance.pool) && isMovable(context, instance))
+			.map(({id, capacity: {cpuMillis}}) => ({id, cpuMillis, idleMs: 0})),
+		sparePool,
+	}, {ranksByPriority: scheduler.poolPolicy.learnsShape});
+	const drained = planDrains(context, {pools, shortages: plan.timelyShortages, isMovable: worker => isOnMovableInstance(context, worker) && !plan.moves.some(({instance}) => instance === worker.listing?.instance)});
+	for (const move of [...plan.moves, ...drained]) {
+		const instance = scheduler.instances.get(move.instance);
+		if (instance !== undefined && !scheduler.moves.has(instance.id)) {
+			requestMove(context, instance, move.pool);
 		}
 	}
+}
 
-	for (const worker of surplusWorkers) {
-		const instance = scheduler.instances.get(worker.listing?.instance ?? '');
-		if (instance !== undefined && !scheduler.drains.has(instance.id) && now - worker.idleSince > getIdleReturnTime(scheduler, worker)) {
-			requestMove(context, instance, sparePool);
-		}
-	}
+/** Gathers what the plan needs to know of a pool. */
+function measurePool(context: ReducerContext, pool: PoolLoad, reserve: Reserve | undefined): MeasuredPool {
+	const {scheduler, now} = context;
+	const {name, workers, capacity, priority, unmetLongRunningNeeds} = pool;
+	const incoming = [...scheduler.moves.values()].filter(move => move.pool === name).map(({instance}) => scheduler.instances.get(instance)?.capacity.cpuMillis ?? 0);
+	const incomingMillis = incoming.reduce((sum, cpuMillis) => sum + cpuMillis, 0);
+	const burst = scheduler.burstPattern.pools.get(name);
+	return {
+		name,
+		priority,
+		size: workers.length,
+		capacity,
+		incoming: {count: incoming.length, cpuMillis: incomingMillis},
+		need: measureTarget(pool),
+		timelyNeed: measureTimelyNeed(pool),
+		isBlocked: unmetLongRunningNeeds > 0,
+		kept: reserve?.kept ?? 1,
+		prepared: reserve?.prepared ?? 0,
+		heldBack: burst?.isActive ? 0 : Math.max(0, (reserve?.nextHeight ?? 0) - capacity - incomingMillis),
+		ignoresHeldBack: burst === undefined || now - burst.startedAt > longestTurnMs,
+		returnMs: getIdleReturnTime(scheduler, name),
+		directMoveMs: scheduler.poolPolicy.directMoveIdleMs,
+		idle: workers
+			.filter(worker => worker.tasks.size === 0 && !worker.cordoned && worker.acknowledgedOwner && isOnMovableInstance(context, worker))
+			.map(({listing, idleSince}) => ({id: listing?.instance ?? '', cpuMillis: listing?.capacity.cpuMillis ?? 0, idleMs: now - idleSince})),
+	};
 }
 
 /** Repeats unanswered requests, and drops moves that the list of instances has confirmed. */
@@ -87,29 +108,6 @@
 	}
 }
 
-/** Thousandths of a core that the long-running tasks and the timely jobs of a pool lack, net of instances that are moving to it. */
-function measureTimelyShortage(context: ReducerContext, pool: PoolLoad): number {
-	return measureTimelyNeed(pool) - pool.capacity - measureIncomingCapacity(context, pool);
-}
-
-function measureIncomingCapacity({scheduler}: ReducerContext, pool: PoolLoad): number {
-	let incoming = 0;
-	for (const move of scheduler.moves.values()) {
-		if (move.pool === pool.name) {
-			incoming += scheduler.instances.get(move.instance)?.capacity.cpuMillis ?? 0;
-		}
-	}
-
-	return incoming;
-}
-
-/** Thousandths of a core that a pool lacks, net of instances that are moving to it. */
-function measureShortage(context: ReducerContext, pool: PoolLoad): number {
-	const incoming = measureIncomingCapacity(context, pool);
-	const shortage = measureTarget(pool) - pool.capacity - incoming;
-	return pool.unmetLongRunningNeeds > 0 && incoming === 0 ? Math.max(shortage, 1) : shortage;
-}
-
 /** Thousandths of a core that a pool should have: enough for running and waiting tasks, and for the forecast demand. */
 function measureTarget({used, backlog, demand}: PoolLoad): number {
 	return Math.max(used + backlog, demand.forecast);
@@ -129,67 +127,8 @@
 }
 
 /** Time in milliseconds after which an idle instance returns to the spare pool; shorter once the burst of its pool is over, because no gap between two jobs explains it. */
-function getIdleReturnTime({poolPolicy, burstPattern}: Scheduler, {listing}: Worker): number {
-	return burstPattern.pools.get(listing?.service ?? '')?.isActive === false ? poolPolicy.endedIdleReturnMs : poolPolicy.idleReturnMs;
-}
-
-/** Idle workers that their pools can spare, longest idle first. */
-function listSurplusWorkers(context: ReducerContext, pools: ReadonlyMap<string, PoolLoad>): Worker[] {
-	const {scheduler, now} = context;
-	const reserves = measureReserves(scheduler, [...pools.keys()], now);
-	const surplusWorkers: Worker[] = [];
-	for (const pool of pools.values()) {
-		const idle = pool.workers
-			.filter(worker => worker.tasks.size === 0 && !worker.cordoned && worker.acknowledgedOwner && now - worker.idleSince > Math.min(scheduler.poolPolicy.directMoveIdleMs, getIdleReturnTime(scheduler, worker)))
-			.filter(worker => isOnMovableInstance(context, worker))
-			.toSorted((left, right) => left.idleSince - right.idleSince);
-		let surplus = pool.capacity - measureTarget(pool);
-		if (pool.unmetLongRunningNeeds > 0) {
-			continue;
-		}
-
-		for (const worker of idle.slice(0, Math.max(0, pool.workers.length - (reserves.get(pool.name)?.kept ?? 1)))) {
-			surplus -= worker.listing?.capacity.cpuMillis ?? 0;
-			if (surplus < 0) {
-				break;
-			}
-
-			surplusWorkers.push(worker);
-		}
-	}
-
-	return surplusWorkers;
-}
-
-function requestInstances(context: ReducerContext, options: {pool: PoolLoad; shortage: number; surplusWorkers: Worker[]; spareInstances: ListedInstance[]}): void {
-	const {pool, surplusWorkers, spareInstances} = options;
-	let {shortage} = options;
-	while (shortage > 0) {
-		const index = surplusWorkers.findIndex(({listing}) => listing?.service !== pool.name);
-		const [worker] = index === -1 ? [] : surplusWorkers.splice(index, 1);
-		const instance = worker === undefined ? spareInstances.shift() : context.scheduler.instances.get(worker.listing?.instance ?? '');
-		if (instance === undefined) {
-			return;
-		}
-
-		requestMove(context, instance, pool.name);
-		shortage -= instance.capacity.cpuMillis;
-	}
-}
-
-/** Requests instances for pools that are expected to have the next burst; pools that lack instances now have got theirs before. */
-function fillReserves(context: ReducerContext, options: {pools: ReadonlyMap<string, PoolLoad>; surplusWorkers: Worker[]; spareInstances: ListedInstance[]}): void {
-	const {scheduler, now} = context;
-	const {pools, surplusWorkers, spareInstances} = options;
-	for (const [name, {prepared}] of measureReserves(scheduler, [...pools.keys()], now)) {
-		const pool = pools.get(name);
-		const missing = prepared - (pool?.workers.length ?? 0) - [...scheduler.moves.values()].filter(move => move.pool === name).length;
-		if (pool !== undefined && missing > 0) {
-			requestInstances(context, {
-				pool, shortage: missing * (pool.workers[0]?.listing?.capacity.cpuMillis ?? 1), surplusWorkers, spareInstances,
-			});
-		}
-	}
+function getIdleReturnTime({poolPolicy, burstPattern}: Scheduler, pool: string): number {
+	return burstPattern.pools.get(pool)?.isActive === false ? poolPolicy.endedIdleReturnMs : poolPolicy.idleReturnMs;
 }
 
 function requestMove(context: ReducerContext, instance: ListedInstance, pool: string): void {
--- a/packages/core/src/jobs/pools/pool-policy.ts
+++ b/packages/core/src/jobs/pools/pool-policy.ts
@@ -14,14 +14,21 @@
 	readonly reducedPoolFraction: number;
 	/** Part of the height of its last burst for which the next pool is prepared, if the time of the burst is predicted. */
 	readonly preparedPeakFraction: number;
+	/** Pools keep what the start of a burst of learned height needs, get it at once when their arrivals show the start, and their forecast does not exceed it. */
+	readonly learnsShape: boolean;
 };
 
 /** Rules before bursts were learned: each pool retains the same number of instances. */
 export const formerPoolPolicy: PoolPolicy = {
-	idleReturnMs: 1000, endedIdleReturnMs: 1000, directMoveIdleMs: 500, retainedPoolFraction: 0.35, learnsBursts: false, reducedPoolFraction: 0.35, preparedPeakFraction: 0,
+	idleReturnMs: 1000, endedIdleReturnMs: 1000, directMoveIdleMs: 500, retainedPoolFraction: 0.35, learnsBursts: false, reducedPoolFraction: 0.35, preparedPeakFraction: 0, learnsShape: false,
+};
+
+/** Rules that learn the order of bursts, before their shape was learned. */
+export const orderedPoolPolicy: PoolPolicy = {
+	...formerPoolPolicy, endedIdleReturnMs: 400, learnsBursts: true, reducedPoolFraction: 0.1, preparedPeakFraction: 0.5,
 };
 
 /** Rules in force. */
 export const defaultPoolPolicy: PoolPolicy = {
-	...formerPoolPolicy, endedIdleReturnMs: 400, learnsBursts: true, reducedPoolFraction: 0.1, preparedPeakFraction: 0.5,
+	...orderedPoolPolicy, learnsShape: true,
 };
--- a/packages/core/src/jobs/pools/restore-bursts.test.ts
+++ b/packages/core/src/jobs/pools/restore-bursts.test.ts
@@ -32,9 +32,9 @@
 
 	it('guards against a takeover that fails because of an unreadable stored form', () => {
 		for (const stored of [null, 1, [], {
-			pools: [['north', true, 1]], intervals: [], lastStartedAt: 1, streak: 0,
+			pools: [['north', true, 1]], intervals: [], profiles: [], lastStartedAt: 1, streak: 0,
 		}, {
-			pools: [], intervals: ['x'], lastStartedAt: 1, streak: 0,
+			pools: [], intervals: ['x'], profiles: [], lastStartedAt: 1, streak: 0,
 		}]) {
 			const pattern = createBurstPattern();
 			assert.equal(restoreBursts(pattern, stored, {now: 0, timeOfDay: 0}), false);
--- a/packages/core/src/jobs/pools/restore-bursts.ts
+++ b/packages/core/src/jobs/pools/restore-bursts.ts
@@ -22,12 +22,18 @@
 		return false;
 	}
 
-	const {pools, intervals, lastStartedAt, streak} = parsed.data;
+	const {pools, profiles, intervals, lastStartedAt, streak} = parsed.data;
 	// The clock of the former owner may have been ahead; no burst has begun in the future.
 	const convertTime = (time: number): number => now - Math.max(0, timeOfDay - time);
-	for (const [name, isActive, startedAt, endedAt, peak] of pools) {
+	for (const [name, isActive, startedAt, endedAt, peak, height, step] of pools) {
 		pattern.pools.set(name, {
-			isActive, startedAt: convertTime(startedAt), endedAt: convertTime(endedAt), peak,
+			isActive, startedAt: convertTime(startedAt), endedAt: convertTime(endedAt), peak, height, step,
+		});
+	}
+
+	for (const [name, criticalPathMs, slackMs, work, quietArrivals, quietMs] of profiles) {
+		pattern.profiles.set(name, {
+			criticalPathMs, slackMs, work, quietArrivals, quietMs, measuredAt: now,
 		});
 	}
 
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -247,6 +247,10 @@
 	readonly lateJobs: Set<ActiveJob>;
 	/** Smoothed and extrapolated demand. */
 	demand: Demand;
+	/** Priority of its most urgent queue; 0 comes first. */
+	priority: number;
+	/** Thousandths of a core that its jobs can wait for, because they still meet their objective after a move. */
+	deferrable: number;
 	/** Number of long-running task groups that have waited too long for a worker, and of upkeeps that have waited too long only for long-running tasks to move. */
 	unmetLongRunningNeeds: number;
 };
