Give kept instances and the error of the forecast in the pool loads

Cause: the views for operators need the figures of the plan. Change: each pool load contains the number of kept instances and the smoothed difference of the forecasts from the demand 1.5 s later; an unused field is removed.

--- a/packages/core/src/jobs/pools/measure-pools.ts
+++ b/packages/core/src/jobs/pools/measure-pools.ts
@@ -15,6 +15,7 @@
 import {estimateBurstHeight} from './estimate-burst-height.js';
 import {learnArrivals} from './learn-arrivals.js';
 import {observeBurst} from './observe-burst.js';
+import {measureForecastError} from './measure-forecast-error.js';
 import {forecastDemand} from './forecast-demand.js';
 import {findWorkerOfInstance} from './find-worker-of-instance.js';
 
@@ -71,7 +72,7 @@
 	for (const {name, spare} of scheduler.configuration.pools) {
 		if (!spare) {
 			pools.set(name, {
-				name, workers: [], capacity: 0, used: 0, usedByLateJobs: 0, backlog: 0, backlogOfLateJobs: 0, lateJobs: new Set(), demand: noDemand, unmetLongRunningNeeds: 0, priority: getPriority(scheduler, name), deferrable: 0,
+				name, workers: [], capacity: 0, used: 0, usedByLateJobs: 0, backlog: 0, backlogOfLateJobs: 0, lateJobs: new Set(), demand: noDemand, unmetLongRunningNeeds: 0, priority: getPriority(scheduler, name), kept: 0, forecastError: undefined,
 			});
 		}
 	}
@@ -95,6 +96,8 @@
 			currentDemand: demand, arrivals: count, now, bound: scheduler.poolPolicy.learnsShape ? boundForecast(context, pool.name, equalShare) + longRunningDemand : undefined,
 		});
 		pool.demand = {...forecast, forecast: Math.max(forecast.forecast, step + longRunningDemand)};
+		pool.kept = reserves.get(pool.name)?.kept ?? 0;
+		pool.forecastError = measureForecastError(scheduler.poolLoads.get(pool.name)?.forecastError, {forecast: pool.demand.forecast, demand, now});
 		observeBurst(scheduler.burstPattern, pool.name, {
 			demand: demand - longRunningDemand, smoothed: forecast.smoothed - longRunningDemand, threshold, step, isExpected, now,
 		});
--- a/packages/core/src/jobs/pools/measured-pools.ts
+++ b/packages/core/src/jobs/pools/measured-pools.ts
@@ -20,7 +20,7 @@
 	readonly prepared: number;
 	/** Capacity that pools of less urgent queues leave for the start of its next burst. */
 	readonly heldBack: number;
-	/** Time for which it may claim that capacity of others is not left; its own burst has lasted too long for a turn. */
+	/** It may use that capacity as well: it has no burst, or one that has lasted too long for a turn. */
 	readonly ignoresHeldBack: boolean;
 	/** Time after which an idle instance returns to the spare pool, and time after which it may move to another pool. */
 	readonly returnMs: number;
--- a/packages/core/src/jobs/pools/plan-drains.test.ts
+++ b/packages/core/src/jobs/pools/plan-drains.test.ts
@@ -25,7 +25,7 @@
 	assert.ok(worker);
 	worker.acknowledgedOwner = true;
 	const north: PoolLoad = {
-		name: 'north', workers: [worker], capacity: capacity.cpuMillis, used: 0, usedByLateJobs: 0, backlog: 0, backlogOfLateJobs: 0, lateJobs: new Set(), demand: {measuredAt: 0, smoothed: 0, forecast: 0}, unmetLongRunningNeeds: 0, priority: 0, deferrable: 0,
+		name: 'north', workers: [worker], capacity: capacity.cpuMillis, used: 0, usedByLateJobs: 0, backlog: 0, backlogOfLateJobs: 0, lateJobs: new Set(), demand: {measuredAt: 0, smoothed: 0, forecast: 0}, unmetLongRunningNeeds: 0, priority: 0, kept: 0, forecastError: undefined,
 	};
 	const plan = (options: {now: number; shortage: number}) => {
 		const effects: SchedulerEffect[] = [];
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -5,6 +5,7 @@
  */
 import {type Estimates, type RunMeasurement, type StepRunTimes} from '../estimates/estimates.js';
 import {type BurstPattern} from '../pools/burst-pattern.js';
+import {type ForecastError} from '../pools/measure-forecast-error.js';
 import {type PoolPolicy} from '../pools/pool-policy.js';
 import {type OrderWindow} from '../runs/order-window.js';
 import {type JobOutlook} from '../order/job-outlook.js';
@@ -249,8 +250,10 @@
 	demand: Demand;
 	/** Priority of its most urgent queue; 0 comes first. */
 	priority: number;
-	/** Thousandths of a core that its jobs can wait for, because they still meet their objective after a move. */
-	deferrable: number;
+	/** Number of instances that the plan leaves in the pool while it is quiet. */
+	kept: number;
+	/** Difference of earlier forecasts from the demand. */
+	forecastError: ForecastError | undefined;
 	/** Number of long-running task groups that have waited too long for a worker, and of upkeeps that have waited too long only for long-running tasks to move. */
 	unmetLongRunningNeeds: number;
 };
