Learn which images crash their workers

Cause: what a crash showed was kept for each task alone. Each job of a crashing image spread its tasks over shared workers and crashed about seven of them, and every sound task started there within 300 ms had to run in isolation.

Change: a record for each image (suspect, crashing, sound, mixed), in the summary of the estimates, written within 200 ms of a change that the next owner must know. Of a suspect image, one task is tried in isolation for all jobs. The jobs of a crashing image run in isolation from the start and fail at the first confirmed crash there; no job fails without one of its own. Tasks of a sound image are suspected at the second crash. An image that shows both behaviours says nothing, and its tasks are treated as before, like tasks without an image. Log event 641.

--- a/packages/core/src/jobs/copies/start-duplicates.ts
+++ b/packages/core/src/jobs/copies/start-duplicates.ts
@@ -1,3 +1,4 @@
+import {isSuspect} from '../crashes/is-suspect.js';
 import {estimateDuration} from '../estimates/estimate-duration.js';
 import {isWithinLimit} from '../order/is-within-limit.js';
 import {chooseWorkers} from '../placement/choose-workers.js';
@@ -104,7 +105,7 @@
 	return state === 'running'
 		&& duplicate === undefined
 		&& scheduler.tasks.get(task.id) === task
-		&& !done && !suspected && crashedRuns.size === 0
+		&& !done && !suspected && !isSuspect(scheduler, group) && crashedRuns.size === 0
 		&& !job.cancelled && job.end === undefined
 		&& now - duplicatedAt >= repeatedDuplicateMs
 		&& findQueuePolicy(scheduler, job).ticketRule === undefined
--- a/packages/core/src/jobs/crashes/count-crash.ts
+++ b/packages/core/src/jobs/crashes/count-crash.ts
@@ -5,10 +5,12 @@
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type LostRun} from '../state/scheduler.js';
 import {listStoredCrashes} from './list-stored-crashes.js';
+import {recordImage} from './record-image.js';
 
 /**
  * Counts the crash of a worker for a run that it had. The job fails if its task has crashed workers on which it ran in
- * isolation; crashes on shared workers only lead to a run in isolation.
+ * isolation; crashes on shared workers only lead to a run in isolation. If its image is known to crash workers, the first
+ * crash in isolation is enough.
  *
  * @param context - the reducer context; its state is changed
  * @param lost - the run
@@ -30,15 +32,22 @@
 		context.scheduler.dirtyJobs.add(job);
 	}
 
-	if (isToBlame(lost)) {
+	const isKnownToCrash = context.scheduler.estimates.images.get(group.definition.image) === 'crashing';
+	if (isolated && lost.confirmed) {
+		recordImage(context, group, 'crashed');
+	} else if (group.suspected) {
+		recordImage(context, group, 'lost');
+	}
+
+	if (isToBlame(lost, isKnownToCrash)) {
 		giveUpTask(context, group);
 	}
 }
 
-function isToBlame({task: {group}, isolated, confirmed}: LostRun): boolean {
+function isToBlame({task: {group}, isolated, confirmed}: LostRun, isKnownToCrash: boolean): boolean {
 	if (group.tasks.length > 1) {
 		return group.crashedRuns.size >= gangCrashLimit;
 	}
 
-	return isolated && group.crashedRuns.size >= (confirmed ? crashLimit : unconfirmedCrashLimit);
+	return isolated && ((confirmed && isKnownToCrash) || group.crashedRuns.size >= (confirmed ? crashLimit : unconfirmedCrashLimit));
 }
--- a/packages/core/src/jobs/crashes/record-loss.ts
+++ b/packages/core/src/jobs/crashes/record-loss.ts
@@ -4,6 +4,7 @@
 import {type Worker} from '../state/scheduler.js';
 import {describeLostRuns} from './describe-lost-runs.js';
 import {countCrash} from './count-crash.js';
+import {recordImage} from './record-image.js';
 
 /** Maximum number of runs in a log line. */
 const maximumLoggedRuns = 20;
@@ -30,6 +31,10 @@
 		worker.unexplainedLoss = {lostAt: now, runs};
 		for (const {task: {group}, recent, isolated} of runs) {
 			group.suspected ||= recent && group.tasks.length === 1;
+			if (group.suspected) {
+				recordImage(context, group, 'lost');
+			}
+
 			if (isolated && !group.definition.longRunning) {
 				group.earliestStartAt = now + explanationWaitMs;
 			}
--- a/packages/core/src/jobs/estimates/create-estimates.ts
+++ b/packages/core/src/jobs/estimates/create-estimates.ts
@@ -21,6 +21,7 @@
 		errors: createSketch(),
 		callerErrors: createSketch(),
 		speeds: new Map(),
+		images: new Map(),
 		isDirty: false,
 		summaryDueAt: 0,
 	};
--- a/packages/core/src/jobs/estimates/estimates.ts
+++ b/packages/core/src/jobs/estimates/estimates.ts
@@ -1,3 +1,4 @@
+import {type ImageRecord} from '../crashes/image-record.js';
 import {type Task} from '../state/scheduler.js';
 import {type SketchNames} from './name-sketches.js';
 
@@ -50,6 +51,8 @@
 	readonly callerErrors: Sketch;
 	/** By instance, or by worker if its instance is unknown. */
 	readonly speeds: Map<string, InstanceSpeed>;
+	/** What is known of images whose runs ended or were lost with their workers, the least recently changed first. */
+	readonly images: Map<string, ImageRecord>;
 	/** Something was learned since the summary was last written. */
 	isDirty: boolean;
 	summaryDueAt: number;
--- a/packages/core/src/jobs/estimates/restore-summary.ts
+++ b/packages/core/src/jobs/estimates/restore-summary.ts
@@ -6,6 +6,7 @@
 const summarySchema = z.object({
 	sketches: z.array(z.tuple([z.string(), z.int().min(1), z.number(), z.number().min(0)])),
 	slow: z.array(z.string()),
+	images: z.array(z.tuple([z.string(), z.enum(['suspect', 'crashing', 'sound', 'mixed'])])).default([]),
 });
 
 /** Samples that a restored sketch counts for at most; the present owner's samples soon outweigh them. */
@@ -53,6 +54,10 @@
 		});
 	}
 
+	for (const [image, record] of parsed.data.images) {
+		estimates.images.set(image, record);
+	}
+
 	return true;
 }
 
--- a/packages/core/src/jobs/estimates/summary.test.ts
+++ b/packages/core/src/jobs/estimates/summary.test.ts
@@ -31,6 +31,23 @@
 		assert.equal(restoreSummary(createEstimates(), undefined, 0), true);
 	});
 
+	it('guards against losing the images that crash workers when there are more images than the summary holds', () => {
+		const former = createEstimates();
+		former.images.set('broken', 'crashing');
+		former.images.set('doubtful', 'suspect');
+		for (let count = 0; count < 500; count++) {
+			former.images.set(`plan-${count}-of-a-long-name`, 'sound');
+		}
+
+		const next = createEstimates();
+		const summary = encodeSummary(former);
+		assert.ok(new TextEncoder().encode(summary).length <= 8192);
+		assert.equal(restoreSummary(next, summary, 0), true);
+		assert.equal(next.images.get('broken'), 'crashing');
+		assert.equal(next.images.get('doubtful'), 'suspect');
+		assert.equal(next.images.get('plan-499-of-a-long-name'), 'sound');
+	});
+
 	it('guards against a summary beyond 8 kB, also with long names of several bytes a character', () => {
 		const estimates = createEstimates();
 		for (let count = 0; count < 600; count++) {
--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -2,7 +2,9 @@
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {giveUpTask} from '../runs/give-up-task.js';
 import {isHarmless} from '../crashes/is-harmless.js';
+import {listImageTrials} from '../crashes/list-image-trials.js';
 import {isIsolated} from '../crashes/is-isolated.js';
+import {isSuspect} from '../crashes/is-suspect.js';
 import {isStepReady} from '../state/is-step-ready.js';
 import {isUnassigned} from '../state/is-unassigned.js';
 import {isWithinLimit} from '../order/is-within-limit.js';
@@ -27,12 +29,19 @@
 /** The same part while no more than this part of the service's cores is in use. */
 const idleFraction = 0.5;
 
+/**
+ * Largest part of a service's workers on which images known to crash workers are tried at the same time; one at least.
+ * Each trial costs a worker for the 3 to 4 s of its restart.
+ */
+const crashingWorkerFraction = 0.125;
+
 /** Time that a suspected task waits for the worker that gets no other tasks to become empty, in milliseconds; then it is started beside the tasks that are left. */
 const maximumEmptyingMs = 3000;
 
 /**
- * Places tasks that may have crashed a worker, one of each job at a time and each on a worker without other tasks but
- * long-running ones that have been up for long. A worker that is being emptied for one gets no other tasks in this round.
+ * Places tasks that may crash a worker, one of each job at a time and each on a worker without other tasks but
+ * long-running ones that have been up for long. Of a suspect image, one task of all jobs is placed at a time, since its
+ * end tells for all of them; images known to crash workers come last. A worker that is being emptied for one gets no other tasks in this round.
  *
  * @param context - the reducer context; its state is changed and effects are added
  * @param options - jobs with ready tasks in the order of their ranks, schedulable workers by service, from which the workers taken are removed, and the order budget
@@ -42,13 +51,14 @@
 export function placeIsolatedGroups(context: ReducerContext, options: {jobs: readonly ActiveJob[]; schedulable: ReadonlyMap<string, Worker[]>; budget: OrderBudget}): void {
 	const {scheduler, now} = context;
 	const {jobs, schedulable, budget} = options;
-	const suspects = jobs.map(job => findSuspect(job, now)).filter(suspect => suspect !== undefined)
-		.toSorted((left, right) => left.group.crashedRuns.size - right.group.crashedRuns.size);
+	const suspects = jobs.map(job => findSuspect(scheduler, job, now)).filter(suspect => suspect !== undefined)
+		.toSorted((left, right) => rankImage(scheduler, left) - rankImage(scheduler, right) || left.group.crashedRuns.size - right.group.crashedRuns.size);
 	if (suspects.length === 0) {
 		return;
 	}
 
 	const {jobsInIsolation, countByService} = countIsolatedTasks(scheduler, now);
+	const trials = listImageTrials(scheduler, now);
 	for (const {group, step} of suspects) {
 		const {service} = findQueuePolicy(scheduler, group.job);
 		const count = countByService.get(service) ?? 0;
@@ -57,6 +67,10 @@
 			continue;
 		}
 
+		if (isImageTried(scheduler, group, trials)) {
+			continue;
+		}
+
 		if (group.crashedRuns.size >= unconfirmedCrashLimit) {
 			giveUpTask(context, group);
 			continue;
@@ -67,16 +81,49 @@
 		}
 
 		countByService.set(service, count + 1);
+		trials.push(group);
 		if (placeSuspect(context, {group, step}, workers)) {
 			budget.orders--;
 		}
 	}
 }
 
-function findSuspect(job: ActiveJob, now: number): Suspect | undefined {
+/** Places images known to crash workers after the others. */
+function rankImage({estimates}: Scheduler, {group}: Suspect): number {
+	return Number(estimates.images.get(group.definition.image) === 'crashing');
+}
+
+/** Tells whether a run under way tells enough about the image of a task, so that the task waits for its end. */
+function isImageTried(scheduler: Scheduler, group: TaskGroup, trials: readonly TaskGroup[]): boolean {
+	const {images} = scheduler.estimates;
+	const record = images.get(group.definition.image);
+	if (record === 'suspect') {
+		return trials.some(({definition}) => definition.image === group.definition.image);
+	}
+
+	if (record !== 'crashing') {
+		return false;
+	}
+
+	const {service} = findQueuePolicy(scheduler, group.job);
+	const limit = Math.max(1, Math.floor(countWorkers(scheduler, service) * crashingWorkerFraction));
+	const underWay = trials.filter(({job, definition}) => images.get(definition.image) === 'crashing' && findQueuePolicy(scheduler, job).service === service);
+	return underWay.length >= limit || underWay.some(({job}) => job === group.job);
+}
+
+function countWorkers({workers}: Scheduler, service: string): number {
+	let count = 0;
+	for (const {listing} of workers.values()) {
+		count += listing?.service === service ? 1 : 0;
+	}
+
+	return count;
+}
+
+function findSuspect(scheduler: Scheduler, job: ActiveJob, now: number): Suspect | undefined {
 	for (const steps of job.occurrences.values()) {
 		for (const step of steps) {
-			const group = step.groups.find(candidate => candidate.suspected && isUnassigned(candidate) && candidate.earliestStartAt <= now);
+			const group = step.groups.find(candidate => isUnassigned(candidate) && candidate.earliestStartAt <= now && isSuspect(scheduler, candidate));
 			if (group !== undefined && isStepReady(steps, step)) {
 				return {group, step};
 			}
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -3,6 +3,7 @@
 import {maximumPlacementFailures} from '../state/constants.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {isWithinLimit} from '../order/is-within-limit.js';
+import {isSuspect} from '../crashes/is-suspect.js';
 import {isStepReady} from '../state/is-step-ready.js';
 import {isUnassigned} from '../state/is-unassigned.js';
 import {measureUnreconciledUsage} from '../order/measure-unreconciled-usage.js';
@@ -138,7 +139,7 @@
 	const {workers, budget} = options;
 	const placed: Task[] = [];
 	let unplaced: TaskGroup | undefined;
-	if (isHeldBack(step)) {
+	if (isHeldBack(context.scheduler, step)) {
 		return undefined;
 	}
 
@@ -147,7 +148,7 @@
 			break;
 		}
 
-		if (group.suspected || !isUnassigned(group) || group.earliestStartAt > context.now) {
+		if (!isUnassigned(group) || group.earliestStartAt > context.now || isSuspect(context.scheduler, group)) {
 			continue;
 		}
 
@@ -165,8 +166,8 @@
 }
 
 /** The tasks of a step are identical, so while one of them may crash its worker, the others wait. Long-running tasks have to be up soon. */
-function isHeldBack({groups}: StepState): boolean {
-	return groups.some(({suspected, done, definition}) => suspected && !done && !definition.longRunning);
+function isHeldBack(scheduler: Scheduler, {groups}: StepState): boolean {
+	return groups.some(group => !group.done && !group.definition.longRunning && isSuspect(scheduler, group));
 }
 
 /** Logs one line for all tasks of a step that are placed at once. */
--- a/packages/core/src/jobs/runs/handle-report.ts
+++ b/packages/core/src/jobs/runs/handle-report.ts
@@ -32,7 +32,7 @@
 	const uncertaintyMs = measureEndUncertainty(context, worker, requestedAt);
 	recordResponse(context, worker, answer);
 	openReportedOccurrences(context, report);
-	dismissLoss(worker);
+	dismissLoss(context, worker);
 	for (const ended of report.ended) {
 		if (ended.number > worker.receivedEndNumber) {
 			handleTaskEnd(context, worker, ended, {uncertaintyMs});
--- a/packages/core/src/jobs/runs/handle-task-end.ts
+++ b/packages/core/src/jobs/runs/handle-task-end.ts
@@ -6,6 +6,7 @@
 import {listRuns} from '../copies/list-runs.js';
 import {mayHaveDuplicate} from '../copies/may-have-duplicate.js';
 import {clearSuspicion} from '../crashes/clear-suspicion.js';
+import {recordImage} from '../crashes/record-image.js';
 import {completeTaskGroup} from '../state/complete-task-group.js';
 import {type EndedTask, type TaskOutcome} from '../state/event.js';
 import {recordRun} from '../estimates/record-run.js';
@@ -29,6 +30,7 @@
 		worker.consecutiveFailures = 0;
 		completeTaskGroup(context, task.group);
 		clearSuspicion(context, task.group, ended.run);
+		recordImage(context, task.group, 'done');
 		const otherRuns = listRuns(task.group).filter(member => member.worker !== undefined && member.run !== ended.run);
 		for (const member of otherRuns) {
 			if (!wasDuplicated) {
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -218,6 +218,10 @@
 	'task-isolated': {
 		number: 638, level: 'info', text: 'A task during which a worker crashed runs without others on its worker', action: 'None.',
 	},
+	'image-judged': {
+		number: 641, level: 'info', text: 'What is known of an image has changed: its tasks may crash their workers (`suspect`), crash them (`crashing`), do not (`sound`), or some do (`mixed`)',
+		action: 'Tell the owner of the job if the image crashes workers. Tasks of images `suspect` and `crashing` run alone on a worker.',
+	},
 	'task-given-up': {
 		number: 639, level: 'error', text: 'A task crashes its workers; it is not started again and its job has failed',
 		action: 'Tell the owner of the queue; the job and the step are part of the task\'s name.',
