Suspect the image of a silent worker at once, and stop recording holders whose leases are over

Cause: an image was suspected at the expiry of the lease (3.3 s after the crash). An owner that ended before that left nothing to its successor, which started the jobs of the image on shared workers again. And a crashed worker stayed in the list of lease holders, so each new owner held back all recovered jobs of the service for one more lease.

An isolated run that is alive 2 s after its start clears a suspect image. A holder that does not answer, has no tasks and whose lease has expired leaves the list, and is recorded again before it gets tasks.

--- a/packages/core/src/jobs/crashes/dismiss-loss.ts
+++ b/packages/core/src/jobs/crashes/dismiss-loss.ts
@@ -17,7 +17,7 @@
 		}
 
 		if (recent && group.crashedRuns.size === 0) {
-			recordImage(context, group, 'reachable');
+			recordImage(context, group, 'alive');
 		}
 
 		group.suspected &&= group.crashedRuns.size > 0;
--- a/packages/core/src/jobs/crashes/image-record.ts
+++ b/packages/core/src/jobs/crashes/image-record.ts
@@ -8,4 +8,4 @@
 export type ImageRecord = 'suspect' | 'crashing' | 'sound' | 'mixed';
 
 /** What a run has shown about its image. */
-export type ImageEvidence = 'lost' | 'reachable' | 'crashed' | 'done';
+export type ImageEvidence = 'lost' | 'alive' | 'crashed' | 'done';
--- a/packages/core/src/jobs/crashes/record-image.ts
+++ b/packages/core/src/jobs/crashes/record-image.ts
@@ -13,7 +13,7 @@
 	lost: {
 		unknown: 'suspect', suspect: 'suspect', crashing: 'crashing', sound: 'sound', mixed: 'mixed',
 	},
-	reachable: {
+	alive: {
 		unknown: undefined, suspect: undefined, crashing: 'crashing', sound: 'sound', mixed: 'mixed',
 	},
 	crashed: {
@@ -30,7 +30,7 @@
  *
  * @param context - the reducer context; its state is changed and effects are added
  * @param group - task group of the run
- * @param evidence - what the run has shown: its worker was lost, was reachable after all, crashed with it in isolation, or it was done
+ * @param evidence - what the run has shown: its worker was lost, was alive when it should have crashed, crashed with it in isolation, or it was done
  * @example
  * recordImage(context, group, 'done');
  */
--- a/packages/core/src/jobs/runs/handle-report.ts
+++ b/packages/core/src/jobs/runs/handle-report.ts
@@ -1,3 +1,4 @@
+import {recordImage} from '../crashes/record-image.js';
 import {adoptDuplicate} from '../copies/adopt-duplicate.js';
 import {findRun} from '../copies/find-run.js';
 import {type RunningTask, type WorkerReport} from '../state/event.js';
@@ -6,7 +7,7 @@
 import {dismissLoss} from '../crashes/dismiss-loss.js';
 import {throttleBestEffortTasks} from '../placement/throttle-best-effort-tasks.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {maximumReportedEnds} from '../state/constants.js';
+import {isolationMs, maximumReportedEnds} from '../state/constants.js';
 import {openReportedOccurrences} from '../state/open-reported-occurrences.js';
 import {type Task, type Worker} from '../state/scheduler.js';
 import {assignTask} from './assign-task.js';
@@ -135,7 +136,12 @@
 		return;
 	}
 
-	task.group.crashedRuns.delete(running.run);
+	const {isolation, crashedRuns} = task.group;
+	crashedRuns.delete(running.run);
+	if (isolation?.run === running.run && context.now - isolation.startedAt >= isolationMs) {
+		recordImage(context, task.group, 'alive');
+	}
+
 	recordProgress(context, task, running);
 }
 
--- a/packages/core/src/jobs/runs/handle-start-answer.ts
+++ b/packages/core/src/jobs/runs/handle-start-answer.ts
@@ -1,3 +1,4 @@
+import {markUnresponsive} from '../crashes/mark-unresponsive.js';
 import {
 	initialBackoffMs, failureThreshold, maximumStartOrders, orderRetryMs,
 } from '../state/constants.js';
@@ -111,7 +112,9 @@
 	adjustOrderWindow(context.scheduler.orderWindow, {outcome, latencyMs: context.now - (task?.lastOrderAt ?? context.now)}, context.now);
 	if (outcome === 'unanswered' || outcome === 'unreachable') {
 		// A later answer to another call shows that only this one was lost.
-		worker.unresponsive ||= task !== undefined && worker.lastResponseAt < task.lastOrderAt;
+		if (task !== undefined && worker.lastResponseAt < task.lastOrderAt) {
+			markUnresponsive(context, worker);
+		}
 	} else if (outcome !== 'withheld' && outcome !== 'other-worker') {
 		worker.unresponsive = false;
 		worker.lastResponseAt = context.now;
--- a/packages/core/src/jobs/runs/supervise-workers.ts
+++ b/packages/core/src/jobs/runs/supervise-workers.ts
@@ -8,6 +8,7 @@
 import {relocateTask} from '../placement/relocate-task.js';
 import {type Task, type Worker} from '../state/scheduler.js';
 import {releaseLostTasks} from './release-lost-tasks.js';
+import {isLeaseOver} from './is-lease-over.js';
 import {findLeaseExpiry} from './find-lease-expiry.js';
 import {stopTask} from './stop-task.js';
 
@@ -38,6 +39,11 @@
 			superviseTask(context, worker, task);
 		}
 
+		if (worker.recordedAsHolder && isLeaseOver(worker, now)) {
+			worker.recordedAsHolder = false;
+			scheduler.holdersDirty = true;
+		}
+
 		if (worker.listing === undefined && worker.tasks.size === 0 && now > findExplanationDeadline(worker) && now > worker.unreconciledUntil && now > findLeaseExpiry(worker)) {
 			scheduler.workers.delete(worker.id);
 			scheduler.holdersDirty ||= worker.recordedAsHolder;
--- a/packages/core/src/jobs/state/reduce-scheduler.ts
+++ b/packages/core/src/jobs/state/reduce-scheduler.ts
@@ -1,3 +1,4 @@
+import {markUnresponsive} from '../crashes/mark-unresponsive.js';
 import {startDuplicates} from '../copies/start-duplicates.js';
 import {advanceWaves} from '../waves/advance-waves.js';
 import {requestReports} from '../runs/request-reports.js';
@@ -142,7 +143,10 @@
 			context.effects.push({type: 'step-down', reason: 'A worker has seen a later owner'});
 		}
 
-		worker.unresponsive ||= worker.lastResponseAt <= worker.reportRequestedAt;
+		if (worker.lastResponseAt <= worker.reportRequestedAt) {
+			markUnresponsive(context, worker);
+		}
+
 		if (outcome === 'other-worker') {
 			endCalledIncarnation(context, worker, worker.reportRequestedAt);
 		}
--- a/packages/core/src/jobs/state/write-progress.ts
+++ b/packages/core/src/jobs/state/write-progress.ts
@@ -1,3 +1,4 @@
+import {isLeaseOver} from '../runs/is-lease-over.js';
 import {findAcknowledgeableEnd} from '../runs/find-acknowledgeable-end.js';
 import {listStoredCrashes} from '../crashes/list-stored-crashes.js';
 import {encodeSummary} from '../estimates/encode-summary.js';
@@ -21,7 +22,7 @@
 	}
 
 	const jobs = [...scheduler.dirtyJobs];
-	const holders = scheduler.holdersDirty ? listHolders(scheduler.workers.values()) : [];
+	const holders = scheduler.holdersDirty ? listHolders(scheduler.workers.values(), now) : [];
 	const acknowledgements = [...scheduler.workers.values()]
 		.map(worker => ({worker, startedAtMs: worker.startedAtMs, endNumber: findAcknowledgeableEnd(worker)}))
 		.filter(({worker, endNumber}) => endNumber > worker.committedEndNumber);
@@ -62,9 +63,9 @@
 	context.effects.push({type: 'commit', number: scheduler.commitNumber, writes});
 }
 
-/** Lists all workers that have answered, are in the stored list, or may run tasks of a former owner, including workers that the store does not list at the moment, since they can get tasks as soon as it lists them again. */
-function listHolders(workers: Iterable<Worker>): Worker[] {
-	return [...workers].filter(({acknowledgedOwner, recordedAsHolder, unreconciledUntil}) => acknowledgedOwner || recordedAsHolder || unreconciledUntil > 0);
+/** Lists all workers that have answered, are in the stored list, or may run tasks of a former owner, including workers that the store does not list at the moment, since they can get tasks as soon as it lists them again. Those whose lease is over are recorded again once they answer. */
+function listHolders(workers: Iterable<Worker>, now: number): Worker[] {
+	return [...workers].filter(worker => worker.recordedAsHolder || ((worker.acknowledgedOwner || worker.unreconciledUntil > 0) && !isLeaseOver(worker, now)));
 }
 
 function createJobWrite(job: ActiveJob, timeOfDay: number): StoreWrite {
--- a/packages/testing/src/jobs/crashing-images.test.ts
+++ b/packages/testing/src/jobs/crashing-images.test.ts
@@ -106,4 +106,45 @@
 			assert.equal(fleet.storedJobs.get('crashing3')?.end?.state, 'completed', `seed ${seed}`);
 		}
 	});
+
+	it('guards against an owner that starts further jobs of an image whose first tasks have silenced their workers just before the takeover', () => {
+		for (const seed of seeds) {
+			const fleet = createFleet(seed, {crashing: 4, intervalMs: 2000});
+			// The worker counts as unresponsive after two calls of 0.7 s, at 4.7 s; its lease expires at 6.3 s.
+			fleet.at(5500, () => {
+				fleet.killOwner();
+			});
+			fleet.at(5900, () => {
+				fleet.takeOver();
+			});
+			fleet.runUntil(60_000);
+			assertOutcome(fleet, 4, `seed ${seed}`);
+			for (const [task, count] of fleet.checker.crashCounts) {
+				const trials = fleet.log.filter(({event, fields}) => event === 'task-isolated' && fields.task === task).length;
+				assert.ok(task.startsWith('crashing0') || count <= trials, `seed ${seed}: ${task} crashed a shared worker`);
+			}
+		}
+	});
+
+	it('guards against waiting again after a takeover for workers whose leases have expired before', () => {
+		for (const seed of seeds) {
+			const fleet = createFleet(seed, {crashing: 1, intervalMs: 9000, crashes: () => false});
+			fleet.at(2000, () => {
+				fleet.silentWorkers.add('w1');
+			});
+			fleet.at(7500, () => {
+				fleet.killOwner();
+			});
+			fleet.at(7900, () => {
+				fleet.takeOver();
+			});
+			fleet.at(9000, () => {
+				const waiting = fleet.unfinishedJobs.filter(id => !fleet.log.some(({at, event, fields}) => event === 'tasks-placed' && fields.job === id && at <= 9000));
+				assert.deepEqual(waiting, [], `seed ${seed}`);
+			});
+			fleet.runUntil(30_000);
+			assert.deepEqual(fleet.checker.violations, [], `seed ${seed}`);
+			assert.deepEqual(fleet.unfinishedJobs, [], `seed ${seed}`);
+		}
+	});
 });
