--- a/packages/daemon/src/jobs/compute-tick-delay.ts
+++ b/packages/daemon/src/jobs/compute-tick-delay.ts
@@ -4,8 +4,8 @@
 /** Longest delay, the interval of ticks without events. */
 const longestDelayMs = 40;
 
-/** Pause after a tick as a multiple of its duration, so that ticks take at most a quarter of the processor time. */
-const pauseFactor = 3;
+/** Pause after a tick as a multiple of its duration, so that ticks take at most a tenth of the processor time; orders and reports of a burst need most of it. */
+const pauseFactor = 9;
 
 /**
  * Computes how long after an event the next tick follows. Answers bursts that exceed the capacity: reports and answers then
@@ -15,7 +15,7 @@
  * @param previousTickMs - duration of the previous tick in milliseconds
  * @returns delay in milliseconds
  * @example
- * computeTickDelay(5); // 15
+ * computeTickDelay(2); // 18
  */
 export function computeTickDelay(previousTickMs: number): number {
 	return Math.min(longestDelayMs, Math.max(shortestDelayMs, previousTickMs * pauseFactor));
