--- a/packages/core/src/jobs/estimates/begin-measurement.ts
+++ b/packages/core/src/jobs/estimates/begin-measurement.ts
@@ -21,6 +21,6 @@
 
 	const startedAt = now - uncertaintyMs;
 	task.measurement = {
-		startedAt, anchorAt: startedAt, anchorPercent: 0, judgementDueAt: startedAt, isSlow: false,
+		startedAt, anchorAt: startedAt, anchorPercent: 0, isSlow: false,
 	};
 }
--- a/packages/core/src/jobs/estimates/estimates.ts
+++ b/packages/core/src/jobs/estimates/estimates.ts
@@ -76,8 +76,6 @@
 	/** Begin of the present interval in which progress is measured. */
 	anchorAt: number;
 	anchorPercent: number;
-	/** Local time before which the run is not judged unless it ends. */
-	judgementDueAt: number;
 	/** The run has been judged as slow. */
 	isSlow: boolean;
 };
--- a/packages/core/src/jobs/estimates/judge-run.ts
+++ b/packages/core/src/jobs/estimates/judge-run.ts
@@ -9,9 +9,6 @@
 /** Largest part of the work that may be done before the last interval of an ended run, for it to be judged. */
 const lastIntervalPercent = 70;
 
-/** Time until a run without peers is compared again; a worker reports some ten times a second while its tasks end, and each comparison sorts the run times of the step. */
-const referenceRetryMs = 100;
-
 /**
  * Compares the progress of a run since it was last judged with that of its peers.
  *
@@ -29,18 +26,13 @@
 		return undefined;
 	}
 
+	const reference = findPeerRunTime(scheduler, task);
 	const percent = isDone ? 100 : task.percent;
 	if (!isDone && !isSlow && percent >= projectionPercent) {
 		getStepRunTimes(task.group.job, task.group.step).projected.set(task, Math.log(Math.max(1, now - measurement.startedAt) * 100 / percent));
 	}
 
-	if (!isDone && now < measurement.judgementDueAt) {
-		return undefined;
-	}
-
-	const reference = findPeerRunTime(scheduler, task);
 	if (reference === undefined) {
-		measurement.judgementDueAt = now + referenceRetryMs;
 		return undefined;
 	}
 
@@ -49,7 +41,6 @@
 	const elapsedMs = now - measurement.anchorAt;
 	const isMeasurable = isDone ? measurement.anchorPercent <= lastIntervalPercent : elapsedMs >= computeInterval(expected);
 	if (!isMeasurable) {
-		measurement.judgementDueAt = measurement.anchorAt + computeInterval(expected);
 		return undefined;
 	}
 
