Split the model of the fleet, and read the settings variable from its owner

Change: handlers of effects on instances in a file of their own; the soak imports the name from the platform's adapter.

--- a/packages/soak/src/program-process.ts
+++ b/packages/soak/src/program-process.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {setTimeout as delay} from 'node:timers/promises';
+import {settingsVariable} from '@rosemaryquay/fleet-platform/settings';
 import {z} from 'zod';
 import {type EventLog} from './event-log.js';
 
@@ -13,9 +14,6 @@
 
 const kilobyte = 1024;
 
-/** Name of the environment variable that holds the path of the settings file. */
-const settingsVariable = 'ROSEMARYQUAY_BOOT';
-
 /** Events of the log that report an error of the program itself. */
 const errorEvents = new Set(['process-invariant-broken', 'call-failed', 'process-settings-invalid']);
 
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -12,15 +12,14 @@
 import {type ListedWorker, type Scheduler} from '@rosemaryquay/core/jobs/state/scheduler';
 import {type FleetOptions} from './fleet-options.js';
 import {InvariantChecker} from './invariant-checker.js';
+import {createInstanceHandlers} from './create-instance-handlers.js';
 import {describeBehaviour} from './describe-behaviour.js';
 import {HeartbeatModel} from './heartbeat-model.js';
 import {InstanceModel} from './instance-model.js';
 import {recoverJobs} from './recover-jobs.js';
 import {type StoredJob, StoredSchedule} from './stored-schedule.js';
 import {VirtualClock} from './virtual-clock.js';
-import {
-	callTimeoutMs, partsPerThousand, NetworkModel,
-} from './network-model.js';
+import {NetworkModel} from './network-model.js';
 import {WorkerModel} from './worker-model.js';
 
 const tickIntervalMs = 40;
@@ -58,6 +57,7 @@
 	readonly #heartbeats = new HeartbeatModel(this);
 	readonly #waves: WaveRequest[] = [];
 	readonly #instances: InstanceModel;
+	readonly #allHandlers: Readonly<Record<SchedulerEffect['type'], unknown>>;
 	#fence = 0;
 	readonly #random: RandomGenerator;
 	readonly #getBehaviour: NonNullable<FleetOptions['getBehaviour']>;
@@ -68,7 +68,7 @@
 		}
 	});
 
-	readonly #handlers: {[Type in SchedulerEffect['type']]: (effect: Extract<SchedulerEffect, {type: Type}>, owner: ModelledOwner) => void} = {
+	readonly #handlers: {[Type in Exclude<SchedulerEffect['type'], keyof ReturnType<typeof createInstanceHandlers>>]: (effect: Extract<SchedulerEffect, {type: Type}>, owner: ModelledOwner) => void} = {
 		start: (effect, owner) => {
 			const {task, run, leaseUntilMs} = effect;
 			const job = this.#store.getJob(effect.job);
@@ -130,19 +130,6 @@
 				});
 			}
 		},
-		'publish-wave': ({wave, state}, owner) => {
-			this.waveStates.set(wave, state);
-			const request = state === 'completed' ? this.#waves.find(({number}) => number === wave) : undefined;
-			for (const instance of request?.instances ?? []) {
-				if (this.instances.has(instance) && !this.#instances.hasBegunUpkeep(instance, wave)) {
-					this.checker.violations.push(`wave ${wave} is completed, and the upkeep of ${instance} has not begun`);
-				}
-			}
-
-			this.dispatch({
-				type: 'wave-published', wave, state, stored: true,
-			}, owner);
-		},
 		'ask-tickets': ({job, occurrence, step, workers}, owner) => {
 			this.#network.deliver(() => {
 				this.dispatch({
@@ -150,39 +137,6 @@
 				}, owner);
 			});
 		},
-		'list-instances': (_effect, owner) => {
-			const requestedAt = this.now;
-			const instances = [...this.instances.values()];
-			this.#network.deliver(() => {
-				this.dispatch({type: 'instances-listed', instances, requestedAt}, owner);
-			});
-		},
-		upkeep: ({instance, wave}, owner) => {
-			const isLost = this.draw(1, partsPerThousand) <= this.lostAnswersPerThousand;
-			this.#network.deliver(() => {
-				const outcome = this.#instances.requestUpkeep(instance, wave);
-				if (!isLost) {
-					this.dispatch({
-						type: 'upkeep-answered', wave, instance, outcome,
-					}, owner);
-				}
-			});
-			if (isLost) {
-				this.at(this.now + callTimeoutMs, () => {
-					this.dispatch({
-						type: 'upkeep-answered', wave, instance, outcome: 'unanswered',
-					}, owner);
-				});
-			}
-		},
-		move: ({instance, pool}, owner) => {
-			this.#network.deliver(() => {
-				this.#instances.move(instance, pool);
-				this.dispatch({
-					type: 'move-answered', instance, pool, outcome: 'accepted',
-				}, owner);
-			});
-		},
 		'step-down'(_effect, owner) {
 			owner.isAlive = false;
 		},
@@ -198,6 +152,12 @@
 		this.#getBehaviour = getBehaviour;
 		this.checker = new InvariantChecker({configuration, workers});
 		this.#instances = new InstanceModel({instances, fleet: this, isSpare: pool => this.#configuration.pools.some(({name, spare}) => name === pool && spare)});
+		const deliver = this.#network.deliver.bind(this.#network);
+		this.#allHandlers = {
+			...this.#handlers, ...createInstanceHandlers({
+				fleet: this, instances: this.#instances, waves: this.#waves, deliver,
+			}),
+		};
 		for (const listing of workers) {
 			this.addWorker(listing);
 		}
@@ -430,7 +390,7 @@
 
 	#perform(owner: ModelledOwner, effects: readonly SchedulerEffect[]): void {
 		for (const effect of effects) {
-			const handler = this.#handlers[effect.type] as (effect: SchedulerEffect, owner: ModelledOwner) => void;
+			const handler = this.#allHandlers[effect.type] as (effect: SchedulerEffect, owner: ModelledOwner) => void;
 			handler(effect, owner);
 		}
 	}
