Never give up a long-running task

Cause: a long-running task whose worker crashed twice, the second time in isolation, ended its job as failed; such jobs run until they are cancelled. Change: crashes lead to isolation of long-running tasks, never to the end of their job.

--- a/packages/core/src/jobs/crashes/count-crash.ts
+++ b/packages/core/src/jobs/crashes/count-crash.ts
@@ -36,6 +36,11 @@
 }
 
 function isToBlame({task: {group}, isolated, confirmed}: LostRun): boolean {
+	// A long-running task is started again however it ends; in isolation, it takes no other task down with its worker.
+	if (group.definition.longRunning) {
+		return false;
+	}
+
 	if (group.tasks.length > 1) {
 		return group.crashedRuns.size >= gangCrashLimit;
 	}
--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -57,7 +57,7 @@
 			continue;
 		}
 
-		if (group.crashedRuns.size >= unconfirmedCrashLimit) {
+		if (group.crashedRuns.size >= unconfirmedCrashLimit && !group.definition.longRunning) {
 			giveUpTask(context, group);
 			continue;
 		}
--- a/packages/testing/src/jobs/crashing-tasks.test.ts
+++ b/packages/testing/src/jobs/crashing-tasks.test.ts
@@ -131,6 +131,26 @@
 		}
 	});
 
+	it('guards against ending a long-running job because the workers that its task is alone on crash', () => {
+		for (const seed of seeds) {
+			const fleet = createCrashingFleet(seed, []);
+			fleet.submit(createJob('lasting', {queue: 'watches', steps: [{count: 1, cpuMillis: 2000, longRunning: true}]}));
+			for (let time = 1500; time < 40_000; time += 500) {
+				fleet.at(time, () => {
+					const task = fleet.owner?.scheduler.tasks.get('lasting.0.0.0');
+					if (task?.state === 'running' && task.worker !== undefined) {
+						fleet.restartWorker(task.worker.id, 500);
+					}
+				});
+			}
+
+			fleet.runUntil(60_000);
+			assert.deepEqual(fleet.checker.violations, [], `seed ${seed}`);
+			assert.equal(fleet.storedJobs.get('lasting')?.end, undefined, `seed ${seed}`);
+			assert.ok(fleet.checker.isRunning('lasting.0.0.0'), `seed ${seed}: the task does not run`);
+		}
+	});
+
 	it('starts a long-running task again after unrelated crashes of its workers', () => {
 		for (const seed of seeds) {
 			const fleet = createCrashingFleet(seed, ['crashing0', 'crashing1', 'crashing2']);
