--- a/packages/core/src/jobs/admission/measure-waits.ts
+++ b/packages/core/src/jobs/admission/measure-waits.ts
@@ -74,7 +74,7 @@
 	return new Map([...backlogs].map(([organisation, {waitMs}]) => [organisation, waitMs]));
 }
 
-/** Part of the estimated work of a number of jobs that they certainly have; errors of many estimates even out. */
+/** Lower bound of the work of a number of jobs, as a fraction of its estimate; the errors of many estimates partly cancel out. */
 function getCertainFraction(count: number): number {
 	return Math.max(leastWorkFraction, 1 - (certaintyDeviations * workDeviation / Math.sqrt(Math.max(1, count))));
 }
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -332,7 +332,7 @@
 	readonly admission: {
 		/** The last write of the admission record is not answered yet. */
 		isPending: boolean;
-		/** The stored record is certainly empty. */
+		/** The stored record is known to be empty. */
 		isStoredEmpty: boolean;
 	};
 	readonly instances: Map<string, ListedInstance>;
--- a/packages/daemon/src/jobs/compute-tick-delay.ts
+++ b/packages/daemon/src/jobs/compute-tick-delay.ts
@@ -4,7 +4,7 @@
 /** Longest delay, the interval of ticks without events. */
 const longestDelayMs = 40;
 
-/** Pause after a tick as a multiple of its duration, so that ticks take at most a tenth of the processor time; orders and reports of a burst need most of it. */
+/** Pause after a tick as a multiple of its duration, so that ticks take at most a tenth of the processor time, and more only if they last so long that the longest delay applies; orders and reports of a burst need most of it. */
 const pauseFactor = 9;
 
 /**
