Show orders of a former owner that arrive after a cut

Cause: a call that times out closes its connection in the ordinary way, so its bytes stay in the send queue and are delivered when a partition ends. Orders for instances of an owner that has been replaced meanwhile are then carried out where the receiver checks no fence.

--- a/review/stand-ins/fleet.js
+++ b/review/stand-ins/fleet.js
@@ -8,6 +8,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {callJson, findFreePort, serveJson} from './http.js';
+import {Link} from './link.js';
 import {Store} from './store.js';
 import {Worker} from './worker.js';
 
@@ -38,8 +39,10 @@
 	processes = [];
 	/** Machines whose upkeep is under way or done. */
 	upkeeps = new Map();
-	/** Called with the worker before an upkeep ends it. */
-	onUpkeep;
+	/** Called with machine, holder and fencing token of each order for a machine. */
+	onMachineOrder;
+	/** Tokens of owners whose calls to the workers do not arrive, with a promise of the end of that. */
+	#cutTokens = new Map();
 	#options;
 	#folder;
 	#host;
@@ -73,7 +76,7 @@
 		const {processes, workers, routes, services, tenants, advise, ticketIsGood} = this.#options;
 		this.#folder = await mkdtemp(path.join(os.tmpdir(), 'review-'));
 		await this.store.start(`${this.#host}.1`);
-		const cloud = await serveJson(`${this.#host}.2`, ({method, url, body}) => this.#serveCloud(method, url.pathname, body));
+		const cloud = await serveJson(`${this.#host}.2`, ({method, url, headers, body}) => this.#serveCloud(method, url.pathname, {...body, headers}));
 		this.#services.push(cloud);
 		let advice = '';
 		if (advise !== undefined) {
@@ -89,7 +92,7 @@
 			const number = String(index + 1).padStart(2, '0');
 			this.workers.push(new Worker({
 				id: `i-${number}`, zone: 'aarhus', machine: `m-${number}`, store: this.store, host: `${this.#host}.${10 + index}`,
-				stopMs: bounds.stop_ms, holdMaxMs: bounds.hold_max_ms, heartbeatMs: 1500, ticketIsGood, record: event => this.record(event), ...worker,
+				stopMs: bounds.stop_ms, holdMaxMs: bounds.hold_max_ms, heartbeatMs: 1500, ticketIsGood, arrives: async fence => this.#cutTokens.get(fence), record: event => this.record(event), ...worker,
 			}));
 		}
 
@@ -111,7 +114,8 @@
 	/** The process that owns the schedule, as the store names it. */
 	get owner() {
 		const value = this.store.read('rosemaryquay/owner');
-		return value === undefined ? undefined : this.processes.find(({name, child}) => name === JSON.parse(value).instance && child.exitCode === null && child.signalCode === null);
+		const owner = value === undefined ? undefined : JSON.parse(value).instance;
+		return this.processes.find(({name, child}) => name === owner && child.exitCode === null && child.signalCode === null);
 	}
 
 	async #areReady() {
@@ -125,11 +129,16 @@
 		return true;
 	}
 
-	#serveCloud(method, call, {machine, wave}) {
+	#serveCloud(method, call, {machine, wave, headers}) {
 		if (method === 'GET') {
 			return {status: 200, body: {machines: this.#listMachines(), next_token: ''}};
 		}
 
+		const order = {
+			machine, holder: headers['x-duty-holder'], fence: Number(headers['x-fencing-token']),
+		};
+		this.record({type: 'machine-order', call, ...order});
+		this.onMachineOrder?.(order);
 		const request = JSON.parse(this.store.read(`op/wave/${wave}`) ?? 'null');
 		const worker = this.workers.find(candidate => candidate.machine === machine);
 		if (call !== '/machine-upkeep' || worker === undefined) {
@@ -151,7 +160,6 @@
 		this.record({
 			type: 'upkeep', machine, worker: worker.id, running: [...worker.runs.keys()],
 		});
-		this.onUpkeep?.(worker);
 		this.upkeeps.set(machine, 'upkeep');
 		worker.terminate();
 		setTimeout(async () => {
@@ -170,27 +178,35 @@
 		});
 	}
 
-	/** Waits until all workers have just written their entries; they were started together. */
-	async waitForHeartbeats() {
-		const {lastBeatAt} = this.workers[0];
-		while (this.workers[0].lastBeatAt === lastBeatAt) {
-			await delay(5);
+	/**
+	 * Cuts a process off from the store, the workers and the service of the machines; clients still reach it.
+	 *
+	 * @param target - the process, which owns the schedule
+	 * @param durationMs - time of the cut
+	 */
+	async cut({name, links}, durationMs) {
+		const {revision: fence} = this.store.find('rosemaryquay/owner');
+		this.record({type: 'cut', name, fence});
+		for (const link of links) {
+			link.cut();
 		}
-	}
 
-	/** Takes the store down, or brings it back. Entries that have lapsed meanwhile are back after `returnMs`. */
-	setStoreDown(isDown, returnMs = 0) {
-		this.store.isDown = isDown;
-		this.record({type: isDown ? 'store-down' : 'store-back'});
-		if (!isDown) {
-			for (const worker of this.workers) {
-				worker.returnAfter(returnMs);
-			}
+		const end = delay(durationMs);
+		this.#cutTokens.set(fence, end);
+		await end;
+		this.#cutTokens.delete(fence);
+		for (const link of links) {
+			link.heal();
 		}
+
+		this.record({type: 'cut-ended', name});
 	}
 
 	async #startProcess(name, ip, {cloud, advice}) {
 		const {groups: {command}} = /^run = "(?<command>[^"]+)"$/m.exec(readFileSync(path.join(repository, 'deploy/system.toml'), 'utf8'));
+		const links = [new Link(), new Link()];
+		await links[0].start(ip, this.store.address);
+		await links[1].start(ip, cloud);
 		const [front, ready, control] = [`${ip}:${await findFreePort(ip)}`, `${ip}:${await findFreePort(ip)}`, `${ip}:${await findFreePort(ip)}`];
 		const file = path.join(this.#folder, `${name}.json`);
 		await writeFile(file, JSON.stringify({
@@ -202,10 +218,10 @@
 			data_dir: null, discovery: 'platform', entry: 'vip', heartbeat_ms: 1500, contracts: [], fault_tolerance: {machines: 2, zones: 1, regions: 0}, bounds, orders: 'call',
 			...(advice !== '' && {advice}),
 			platform: {
-				address: this.store.address, form: 'kv', writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1_048_576, ttl_min_ms: 1000,
+				address: links[0].address, form: 'kv', writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1_048_576, ttl_min_ms: 1000,
 			},
 			cloud: {
-				address: cloud, rate_per_s: 64, duties: [], duty_per_s: 64,
+				address: links[1].address, rate_per_s: 64, duties: [], duty_per_s: 64,
 			},
 		}));
 		const [program, ...words] = command.split(' ');
@@ -224,14 +240,14 @@
 			});
 		});
 		this.processes.push({
-			name, front, ready, child,
+			name, front, ready, child, links,
 		});
 		this.record({type: 'process-started', name});
 	}
 
 	/** Ends all processes that were started. */
 	async stop() {
-		for (const {child} of this.processes) {
+		for (const {child, links} of this.processes) {
 			if (child.exitCode === null && child.signalCode === null) {
 				const ended = new Promise(resolve => {
 					child.once('exit', resolve);
@@ -239,6 +255,10 @@
 				child.kill('SIGKILL');
 				await ended;
 			}
+
+			for (const link of links) {
+				link.stop();
+			}
 		}
 
 		for (const worker of this.workers) {
--- a/review/stand-ins/store.js
+++ b/review/stand-ins/store.js
@@ -5,7 +5,7 @@
 const pageSize = 500;
 const expiryIntervalMs = 20;
 
-/** Stand-in of the platform's key-value store: linearizable reads, conditional writes, leases and watches. It fails only while `isDown` is set. */
+/** Stand-in of the platform's key-value store: linearizable reads, conditional writes, leases and watches. It never fails. */
 export class Store {
 	#revision = 10;
 	#items = new Map();
@@ -15,11 +15,9 @@
 	#watches = new Set();
 	#timer;
 	#server;
-	/** While true, calls are refused with 503; leases run out meanwhile. */
-	isDown = false;
 
 	async start(host) {
-		this.#server = await serveJson(host, async call => this.isDown ? {status: 503} : this.#handle(call));
+		this.#server = await serveJson(host, async call => this.#handle(call));
 		this.#timer = setInterval(() => {
 			for (const [id, lease] of this.#leases) {
 				if (lease.expiresAt <= performance.now()) {
@@ -48,6 +46,11 @@
 		this.#apply([], [key]);
 	}
 
+	/** Finds an item as calls return it; undefined if there is none. */
+	find(key) {
+		return this.#items.get(key);
+	}
+
 	/** Reads a value; undefined if there is none. */
 	read(key) {
 		const item = this.#items.get(key);
--- a/review/stand-ins/worker.js
+++ b/review/stand-ins/worker.js
@@ -21,7 +21,6 @@
 	#timer;
 	#heartbeat;
 	#expiry;
-	#beatsFrom = 0;
 	#life = 0;
 	#clockStartedAt;
 	#fence = 0;
@@ -34,7 +33,6 @@
 	/** Running tasks by name. */
 	runs = new Map();
 	born = 0;
-	lastBeatAt = 0;
 	isAlive = false;
 	/** While true, every task ends as failed soon after its start. */
 	failsTasks = false;
@@ -57,12 +55,6 @@
 		return this.#options;
 	}
 
-	/** Tells whether a task that lasts runs here and is past its startup. */
-	isAtWork(task) {
-		const run = this.runs.get(task);
-		return run !== undefined && performance.now() >= run.startedAt + startupMs;
-	}
-
 	get machine() {
 		return this.#options.machine;
 	}
@@ -101,14 +93,13 @@
 		await this.start();
 	}
 
-	/** Writes the entry; the store removes it after three intervals of silence, also while it is down. */
+	/** Writes the entry; the store removes it after three intervals of silence. */
 	#beat() {
 		const {store, heartbeatMs} = this.#options;
-		if (store.isDown || !this.isAlive || performance.now() < this.#beatsFrom) {
+		if (!this.isAlive) {
 			return;
 		}
 
-		this.lastBeatAt = performance.now();
 		this.#sequence++;
 		store.put(`servers/${this.id}`, this.#describe());
 		clearTimeout(this.#expiry);
@@ -117,14 +108,6 @@
 		}, 3 * heartbeatMs).unref();
 	}
 
-	/** Writes its entry again only after this time. */
-	returnAfter(ms) {
-		this.#beatsFrom = performance.now() + ms;
-		setTimeout(() => {
-			this.#beat();
-		}, ms + 1).unref();
-	}
-
 	/** Ends without a word. Its entry is removed after three heartbeat intervals of silence. */
 	crash() {
 		const {record} = this.#options;
@@ -169,6 +152,7 @@
 	}
 
 	async #handle({url, headers, body}) {
+		const {arrives = () => undefined} = this.#options;
 		if (!this.isAlive) {
 			return undefined;
 		}
@@ -177,8 +161,9 @@
 			return {status: 421};
 		}
 
-		this.#advance();
 		const {fencing_token: fence = 0} = body;
+		await arrives(fence);
+		this.#advance();
 		if (fence < this.#fence) {
 			return this.#refuse('fence');
 		}
