Show done tasks that start again after a worker's restart

Cause: the last ends of a worker that becomes idle are acknowledged with a later request only, which may reach the next life of the worker under the same id, and wait there behind the start orders of its tick. Ends of the new life that are done by then are forgotten unread, and their tasks are started again.

--- a/review/stand-ins/worker.js
+++ b/review/stand-ins/worker.js
@@ -1,4 +1,5 @@
 /* eslint-disable camelcase -- the fields of the users' platform are in snake case */
+import {setTimeout as delay} from 'node:timers/promises';
 import {serveJson} from './http.js';
 
 const advanceIntervalMs = 10;
@@ -22,6 +23,7 @@
 	#heartbeat;
 	#expiry;
 	#life = 0;
+	#lives = 0;
 	#clockStartedAt;
 	#fence = 0;
 	#leaseUntil = 0;
@@ -37,7 +39,7 @@
 	/** While true, every task ends as failed soon after its start. */
 	failsTasks = false;
 
-	/** @param options - id, service, zone, labels, capacity, machine, store, host, stopMs, holdMaxMs, heartbeatMs, record, and `ticketIsGood`, which judges tickets where the queue needs them */
+	/** @param options - `linkMs` (one way on the link to the worker), `listingLagMs` (time from the start of a later life to its first entry in the store), id, service, zone, labels, capacity, machine, store, host, stopMs, holdMaxMs, heartbeatMs, record, and `ticketIsGood`, which judges tickets where the queue needs them */
 	constructor(options) {
 		this.#options = options;
 	}
@@ -65,7 +67,7 @@
 
 	/** Begins a life: nothing is left of an earlier one but the id and the address. */
 	async start() {
-		const {host, heartbeatMs, record} = this.#options;
+		const {host, heartbeatMs, record, listingLagMs = 0, linkMs = 0} = this.#options;
 		const port = this.#server === undefined ? 0 : Number(this.#server.address.split(':')[1]);
 		this.born = Date.now();
 		this.#clockStartedAt = performance.now() - 1000;
@@ -76,12 +78,21 @@
 		this.#closedRuns = new Map();
 		this.#sequence = 0;
 		this.isAlive = true;
-		this.#server = await serveJson(host, async call => this.#handle(call), port);
+		this.#server = await serveJson(host, async call => {
+			await delay(linkMs);
+			const answer = await this.#handle(call);
+			await delay(linkMs);
+			return answer;
+		}, port);
 		this.#timer = setInterval(() => {
 			this.#advance();
 		}, advanceIntervalMs);
 		record({type: 'worker-started', worker: this.id});
-		this.#beat();
+		clearTimeout(this.#expiry);
+		setTimeout(() => {
+			this.#beat();
+		}, this.#lives === 0 ? 0 : listingLagMs);
+		this.#lives++;
 		this.#heartbeat = setInterval(() => {
 			this.#beat();
 		}, heartbeatMs);
@@ -231,6 +242,14 @@
 
 	async #report({deadline_ms: deadline, last_seen: lastSeen = 0, wait_ms: waitMs = 0}) {
 		this.#extendLease(deadline);
+		for (const [number, task, run, how] of this.#ends) {
+			if (number <= lastSeen) {
+				this.#options.record({
+					type: 'noted', worker: this.id, task, run, how, lastSeen,
+				});
+			}
+		}
+
 		this.#ends = this.#ends.filter(([number]) => number > lastSeen);
 		if (this.#ends.length === 0 && waitMs > 0) {
 			await new Promise(resolve => {
