--- a/review/stand-ins/fleet.js
+++ b/review/stand-ins/fleet.js
@@ -92,7 +92,8 @@
 			const number = String(index + 1).padStart(2, '0');
 			this.workers.push(new Worker({
 				id: `i-${number}`, zone: 'aarhus', machine: `m-${number}`, store: this.store, host: `${this.#host}.${10 + index}`,
-				stopMs: bounds.stop_ms, holdMaxMs: bounds.hold_max_ms, heartbeatMs: 1500, ticketIsGood, arrives: async fence => this.#cutTokens.get(fence), record: event => this.record(event), ...worker,
+				stopMs: bounds.stop_ms, holdMaxMs: bounds.hold_max_ms, heartbeatMs: 1500, ticketIsGood,
+				arrives: async fence => this.#cutTokens.get(fence), record: event => this.record(event), ...worker,
 			}));
 		}
 
