--- a/review/1/run.js
+++ b/review/1/run.js
@@ -17,7 +17,6 @@
 
 await runCase({
 	folder: import.meta.dirname,
-	processes: 3,
 	workers: Array.from({length: 8}, (_, index) => ({
 		service: 'dispatch', labels: [index === 0 ? 'kind-b' : 'kind-a', index < 4 ? 'r1-1' : 'r1-2'], capacity, linkMs, listingLagMs,
 	})),
--- a/review/2/run.js
+++ b/review/2/run.js
@@ -10,7 +10,6 @@
 
 await runCase({
 	folder: import.meta.dirname,
-	processes: 3,
 	workers: Array.from({length: 8}, (_, index) => ({service: 'dispatch', labels: [index === 7 ? 'kind-b' : 'kind-a', index < 4 ? 'r1-1' : 'r1-2'], capacity})),
 	routes: [{
 		name: 'plans', host: 'jobs.example', prefix, service: 'dispatch', priority: 0, max_attempts: 3, stretch: 1.6, target_latency_ms: 600, allow_anonymous: false,
--- a/review/4/run.js
+++ b/review/4/run.js
@@ -8,8 +8,7 @@
 
 await runCase({
 	folder: import.meta.dirname,
-	processes: 3,
-	workers: Array.from({length: 8}, (_, index) => ({service: 'dispatch', labels: [index >= 6 ? 'kind-b' : 'kind-a', index < 4 ? 'r1-1' : 'r1-2'], capacity})),
+	workers: Array.from({length: 12}, (_, index) => ({service: 'dispatch', labels: [index >= 10 ? 'kind-b' : 'kind-a', `r1-${1 + Math.floor(index / 4)}`], capacity})),
 	routes: [{
 		name: 'plans', host: 'jobs.example', prefix, service: 'dispatch', priority: 0, max_attempts: 3, stretch: 1.6, target_latency_ms: 600, allow_anonymous: false,
 	}],
@@ -25,8 +24,8 @@
 		}],
 	});
 	await delay(3000);
-	const other = fleet.workers.slice(6).find(({runs}) => runs.size === 0);
-	// One of eight workers fails all that it starts, for 5.5 s.
+	const other = fleet.workers.slice(10).find(({runs}) => runs.size === 0);
+	// One of twelve workers fails all that it starts, for 5.5 s.
 	other.failsTasks = hasTrouble;
 	setTimeout(() => {
 		other.failsTasks = false;
--- a/review/5/run.js
+++ b/review/5/run.js
@@ -48,7 +48,6 @@
 const holder = {};
 await runCase({
 	folder: import.meta.dirname,
-	processes: 3,
 	workers: Array.from({length: 34}, (_, index) => ({service: 'dispatch', labels: ['kind-a', `r1-${1 + Math.floor(index / 8)}`], capacity})),
 	routes: [{
 		name: 'plans', host: 'jobs.example', prefix, service: 'dispatch', priority: 0, max_attempts: 3, stretch: 1.6, target_latency_ms: 600, allow_anonymous: false, advice,
--- a/review/stand-ins/fleet.js
+++ b/review/stand-ins/fleet.js
@@ -1,6 +1,8 @@
 /* eslint-disable camelcase -- the fields of the users' platform are in snake case */
 import {spawn} from 'node:child_process';
-import {appendFileSync, readFileSync, writeFileSync} from 'node:fs';
+import {
+	appendFileSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {randomBytes, randomInt} from 'node:crypto';
 import os from 'node:os';
@@ -28,6 +30,9 @@
 	far_x: 1.5, save_s: 2, restore_ms: 600, notice_ms: 4500, move_s: 1.5, upkeep_s: 2, require_fencing: false, lease_ms: 3000, thaw_ms: 300, pace_ms: 100, harm_ms: 4000,
 };
 
+/** Zones of the processes. The store, the workers and the service of the machines are in the third zone, `kbh`. */
+const processZones = ['aarhus', 'odense', 'odense'];
+
 /** True unless the run is to do without the disruption. */
 export const hasTrouble = process.env.TROUBLE !== '0';
 
@@ -50,7 +55,7 @@
 	#recordFile;
 	#startedAt = performance.now();
 
-	/** @param options - `folder` of the case, `processes`, `workers` (service, labels and capacity of each), `routes`, `services`, `tenants`, and `advise`, which decides on a request for tickets */
+	/** @param options - `folder` of the case, `workers` (service, labels and capacity of each), `routes`, `services`, `tenants`, and `advise`, which decides on a request for tickets */
 	constructor(options) {
 		this.#options = options;
 		this.#recordFile = path.join(options.folder, 'record.txt');
@@ -73,7 +78,7 @@
 	}
 
 	async start() {
-		const {processes, workers, routes, services, tenants, advise, ticketIsGood} = this.#options;
+		const {workers, routes, services, tenants, advise, ticketIsGood} = this.#options;
 		this.#folder = await mkdtemp(path.join(os.tmpdir(), 'review-'));
 		await this.store.start(`${this.#host}.1`);
 		const cloud = await serveJson(`${this.#host}.2`, ({method, url, headers, body}) => this.#serveCloud(method, url.pathname, {...body, headers}));
@@ -91,15 +96,17 @@
 		for (const [index, worker] of workers.entries()) {
 			const number = String(index + 1).padStart(2, '0');
 			this.workers.push(new Worker({
-				id: `i-${number}`, zone: 'aarhus', machine: `m-${number}`, store: this.store, host: `${this.#host}.${10 + index}`,
+				id: `i-${number}`, zone: 'kbh', machine: `m-${number}`, store: this.store, host: `${this.#host}.${10 + index}`,
 				stopMs: bounds.stop_ms, holdMaxMs: bounds.hold_max_ms, heartbeatMs: 1500, ticketIsGood,
 				arrives: async fence => this.#cutTokens.get(fence), record: event => this.record(event), ...worker,
 			}));
 		}
 
 		await Promise.all(this.workers.map(async worker => worker.start()));
-		for (let index = 0; index < processes; index++) {
-			await this.#startProcess(`front-${index + 1}`, `${this.#host}.${200 + index}`, {cloud: cloud.address, advice});
+		for (const [index, processZone] of processZones.entries()) {
+			await this.#startProcess(`front-${index + 1}`, {
+				ip: `${this.#host}.${200 + index}`, zone: processZone, cloud: cloud.address, advice,
+			});
 		}
 
 		const endAt = this.now + startTimeoutMs;
@@ -180,15 +187,19 @@
 	}
 
 	/**
-	 * Cuts a process off from the store, the workers and the service of the machines; clients still reach it.
+	 * Cuts the zone of the owner off from the store, the workers and the service of the machines, which are in another zone;
+	 * clients still reach its processes.
 	 *
-	 * @param target - the process, which owns the schedule
 	 * @param durationMs - time of the cut
 	 */
-	async cut({name, links}, durationMs) {
+	async cutZoneOfOwner(durationMs) {
+		const {zone} = this.owner;
 		const {revision: fence} = this.store.find('rosemaryquay/owner');
-		this.record({type: 'cut', name, fence});
-		for (const link of links) {
+		const inside = this.processes.filter(candidate => candidate.zone === zone);
+		this.record({
+			type: 'zone-cut', zone, processes: inside.map(({name}) => name), fence,
+		});
+		for (const link of inside.flatMap(({links}) => links)) {
 			link.cut();
 		}
 
@@ -196,14 +207,14 @@
 		this.#cutTokens.set(fence, end);
 		await end;
 		this.#cutTokens.delete(fence);
-		for (const link of links) {
+		for (const link of inside.flatMap(({links}) => links)) {
 			link.heal();
 		}
 
-		this.record({type: 'cut-ended', name});
+		this.record({type: 'zone-cut-ended', zone});
 	}
 
-	async #startProcess(name, ip, {cloud, advice}) {
+	async #startProcess(name, {ip, zone, cloud, advice}) {
 		const {groups: {command}} = /^run = "(?<command>[^"]+)"$/m.exec(readFileSync(path.join(repository, 'deploy/system.toml'), 'utf8'));
 		const links = [new Link(), new Link()];
 		await links[0].start(ip, this.store.address);
@@ -211,7 +222,7 @@
 		const [front, ready, control] = [`${ip}:${await findFreePort(ip)}`, `${ip}:${await findFreePort(ip)}`, `${ip}:${await findFreePort(ip)}`];
 		const file = path.join(this.#folder, `${name}.json`);
 		await writeFile(file, JSON.stringify({
-			node_name: name, role: 'rosemaryquay', machine_class: 'front', serves: ['front', 'control'], ip, zone: 'aarhus', region: 'dk', zones: {aarhus: 'dk'},
+			node_name: name, role: 'rosemaryquay', machine_class: 'front', serves: ['front', 'control'], ip, zone, region: 'dk', zones: {aarhus: 'dk', odense: 'dk', kbh: 'dk'},
 			listen: {front, ready, control}, internal_ports: [7000, 7015], seeds: [], bootstrap: true, fault_counted: false,
 			limits: {
 				cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0,
@@ -232,16 +243,15 @@
 				PATH, HOME, LANG, ROSEMARYQUAY_BOOT: file,
 			}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
-		const log = path.join(this.#folder, `${name}.log`);
-		child.stdout.on('data', chunk => appendFileSync(log, chunk));
-		child.stderr.on('data', chunk => appendFileSync(log, chunk));
+		child.stdout.resume();
+		child.stderr.resume();
 		child.once('exit', (code, signal) => {
 			this.record({
 				type: 'process-ended', name, code, signal,
 			});
 		});
 		this.processes.push({
-			name, front, ready, child, links,
+			name, zone, front, ready, child, links,
 		});
 		this.record({type: 'process-started', name});
 	}
@@ -271,8 +281,17 @@
 		}
 
 		this.store.stop();
-		if (process.env.KEEP_LOGS === undefined) {
-			await rm(this.#folder, {recursive: true, force: true});
+		await rm(this.#folder, {recursive: true, force: true});
+	}
+
+	/** Ends all processes at once, and removes what they wrote. */
+	abort() {
+		for (const {child} of this.processes) {
+			child.kill('SIGKILL');
+		}
+
+		if (this.#folder !== undefined) {
+			rmSync(this.#folder, {recursive: true, force: true});
 		}
 	}
 
@@ -329,14 +348,17 @@
  */
 export async function runCase(options, play) {
 	const fleet = new Fleet(options);
-	const timer = setTimeout(() => {
-		fleet.record({type: 'result', result: 'The case took too long'});
-		for (const {child} of fleet.processes) {
-			child.kill('SIGKILL');
-		}
-
+	const giveUp = reason => {
+		fleet.record({type: 'could-not-run', reason});
+		fleet.abort();
 		process.exit(2); // eslint-disable-line unicorn/no-process-exit -- the case has failed and must not go on
-	}, longestRunMs);
+	};
+
+	const timer = setTimeout(giveUp, longestRunMs, 'The case took too long');
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, giveUp);
+	}
+
 	let code = 2;
 	try {
 		await fleet.start();
@@ -352,7 +374,13 @@
 		process.stderr.write(`${error.stack}\n`);
 	}
 
-	await fleet.stop();
+	try {
+		await fleet.stop();
+	} catch {
+		// The fleet has not started whole.
+		fleet.abort();
+	}
+
 	clearTimeout(timer);
 	fleet.record({type: 'result', code, trouble: hasTrouble});
 	process.stdout.write(`result ${code}${hasTrouble ? '' : ' without the disruption'}\n`);
--- a/review/stand-ins/link.js
+++ b/review/stand-ins/link.js
@@ -3,7 +3,7 @@
 /**
  * A link between one machine and a service, as a proxy on loopback that can be cut. While it is cut, packets of either
  * direction do not arrive; what was sent on a connection of before arrives once the cut has ended, unless its sender has
- * reset the connection. Connections that are opened during the cut come to nothing.
+ * reset the connection. Connections that are opened during the cut are reset at its end.
  */
 export class Link {
 	/** Called with each part of what the machine sends, before it is passed on. */
@@ -11,6 +11,7 @@
 	#server;
 	#isCut = false;
 	#sockets = new Set();
+	#stranded = new Set();
 	#pipes = new Set();
 
 	async start(host, service) {
@@ -23,6 +24,7 @@
 			if (this.#isCut) {
 				near.on('error', () => undefined);
 				near.resume();
+				this.#stranded.add(near);
 				return;
 			}
 
@@ -50,6 +52,12 @@
 		for (const pass of this.#pipes) {
 			pass();
 		}
+
+		for (const socket of this.#stranded) {
+			socket.resetAndDestroy();
+		}
+
+		this.#stranded.clear();
 	}
 
 	stop() {
