Acknowledge no ends while a start order to the worker is open

Cause: the request that follows the start orders acknowledges ends of the earlier incarnation. Orders occupy the connections, so that the request arrives after short tasks have ended; the next incarnation numbers its ends anew and deletes ends that nobody has read.

Fix: nothing is acknowledged while a start order is open, or while the store lists a later incarnation than the last report. The answer to the order shows by its clock which incarnation carries it out. The ends are acknowledged by the first request after that, also when an order is never answered.

In the model of the fleet, a request that a worker holds was answered by the worker's next incarnation; it is now lost with the one that holds it, as the model of the network has it for late calls.

--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -16,6 +16,9 @@
 /** Longest wait for task ends to be stored before the worker is asked for its next report anyway, which renews its lease; about a fifth of the lease. */
 export const uncommittedReportDelayMs = 700;
 
+/** Longest wait for the answers to start orders before a worker whose ends could not be acknowledged beside them is asked for its next report; orders are normally answered within milliseconds. */
+export const openOrderWaitMs = 100;
+
 /** Time after an answered report in which the worker counts as the same incarnation; two reports are normally at most half as far apart. */
 export const reportLifetimeMs = 1500;
 
--- a/packages/core/src/jobs/state/create-worker.ts
+++ b/packages/core/src/jobs/state/create-worker.ts
@@ -35,6 +35,7 @@
 		committedEndNumber: 0,
 		acknowledgedEndNumber: 0,
 		pendingAcknowledgement: 0,
+		acknowledgementWithheld: false,
 		reportAnsweredAt: Number.NEGATIVE_INFINITY,
 		contestedEnds: new Map(),
 		consecutiveFailures: 0,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -103,6 +103,8 @@
 	acknowledgedEndNumber: number;
 	/** Sequence number of the last task end that the pending request tells it to forget; 0 if none. */
 	pendingAcknowledgement: number;
+	/** The last request for a report acknowledged no ends because a start order was open. */
+	acknowledgementWithheld: boolean;
 	/** Local time of the answer to the last request for a report; `-Infinity` if it was not answered. */
 	reportAnsweredAt: number;
 	/**
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -19,7 +19,7 @@
 import {recoverJobs} from './recover-jobs.js';
 import {type StoredJob, StoredSchedule} from './stored-schedule.js';
 import {VirtualClock} from './virtual-clock.js';
-import {NetworkModel} from './network-model.js';
+import {callTimeoutMs, maximumLatencyMs, NetworkModel} from './network-model.js';
 import {WorkerModel} from './worker-model.js';
 
 const tickIntervalMs = 40;
@@ -81,8 +81,23 @@
 		},
 		report: ({worker, storedEnd, leaseUntilMs, waitMs}, owner) => {
 			const sentAt = this.now;
+			const onTimeout = (): void => {
+				this.dispatch({type: 'report-failed', worker, outcome: 'unanswered'}, owner);
+			};
+
 			// A worker holds this call until a task ends or `waitMs` has passed. The model does not watch for ends: it reports after `waitMs`, at most 50 ms.
-			this.at(this.now + Math.min(waitMs, 50), () => {
+			const holdMs = Math.min(waitMs, 50);
+			let holder: WorkerModel | undefined;
+			this.at(sentAt + Math.min(holdMs, maximumLatencyMs), () => {
+				holder = this.workers.get(worker);
+			});
+			this.at(sentAt + holdMs, () => {
+				// A call that a worker holds is lost if that incarnation ends.
+				if (holder !== this.workers.get(worker)) {
+					this.at(sentAt + holdMs + callTimeoutMs, onTimeout);
+					return;
+				}
+
 				this.#network.callWorker(worker, (model, willReachOwner) => {
 					const report = model.report(this.now, {
 						fence: owner.fence, storedEnd, leaseUntilMs, willReachOwner: willReachOwner && owner.isAlive,
@@ -94,11 +109,7 @@
 								type: 'worker-reported', worker, requestedAt: sentAt, report,
 							}, owner);
 					};
-				}, {
-					onTimeout: () => {
-						this.dispatch({type: 'report-failed', worker, outcome: 'unanswered'}, owner);
-					},
-				});
+				}, {onTimeout});
 			});
 		},
 		'limit-speed': () => undefined,
--- a/packages/testing/src/jobs/network-model.ts
+++ b/packages/testing/src/jobs/network-model.ts
@@ -2,7 +2,7 @@
 
 /** Bounds of the random latency of a message. */
 const minimumLatencyMs = 1;
-const maximumLatencyMs = 4;
+export const maximumLatencyMs = 4;
 
 /** Time after which an unanswered call times out. */
 export const callTimeoutMs = 700;
