Hold back nothing for tasks that wait for something absent

Cause: a long-running task that fits nowhere takes the emptiest worker out of the round without a look at the label, and twelve failed placements end the round for the service, whatever they wait for.

Fix: workers are reserved only where the group can run once short tasks have ended. A failure counts only if it waits for such room, and jobs are skipped after twelve failures only while more than half of the service or of the upper limit is in use. The same holds for tasks in isolation, which used up the turns of others without a worker to run on.

--- a/packages/core/src/jobs/placement/choose-workers.ts
+++ b/packages/core/src/jobs/placement/choose-workers.ts
@@ -7,6 +7,7 @@
 import {findPreferredRack} from './find-preferred-rack.js';
 import {fitsInto} from './fits-into.js';
 import {getReservedResources} from './get-reserved-resources.js';
+import {isEligible} from './is-eligible.js';
 import {satisfiesAntiAffinity} from './satisfies-anti-affinity.js';
 
 /**
@@ -79,15 +80,6 @@
 	return chosen;
 }
 
-function isEligible(group: TaskGroup, stepState: StepState, worker: Worker): boolean {
-	const {requirement} = group.definition;
-	if (requirement !== '' && !worker.listing?.labels.includes(requirement)) {
-		return false;
-	}
-
-	return stepState.tickets === undefined || stepState.tickets.granted.get(worker.id)?.workerStartedAtMs === worker.startedAtMs;
-}
-
 function chooseWorker(group: TaskGroup, stepState: StepState, workers: readonly Worker[], taken: readonly Worker[]): Worker | undefined {
 	const need = getReservedResources(group.definition);
 	const preferredRack = findPreferredRack(group, stepState, taken);
--- /dev/null
+++ b/packages/core/src/jobs/placement/is-worth-trying.ts
@@ -0,0 +1,50 @@
+import {maximumPlacementFailures} from '../state/constants.js';
+import {type ActiveJob, type Scheduler} from '../state/scheduler.js';
+import {type RoundFailures} from './round-failures.js';
+
+/** Part of a service's cores, and of an upper limit, up to which every waiting job is tried: that much room must not stay unused because of jobs that do not fit into it. */
+const spaciousFraction = 0.5;
+
+/**
+ * Tells whether a job is tried in a round. After several failures, the rest of the round is skipped for jobs that need the
+ * same scarce room, which bounds the work and keeps small tasks from using up what larger ones wait for.
+ *
+ * @param scheduler - the state
+ * @param job - the job
+ * @param round - its service and the failures of the round so far
+ * @returns false if the job is not tried
+ * @example
+ * isWorthTrying(scheduler, job, {service: 'planner', failures});
+ */
+export function isWorthTrying(scheduler: Scheduler, job: ActiveJob, {service, failures}: {service: string; failures: RoundFailures}): boolean {
+	const {organisation} = job.definition;
+	if ((failures.byService.get(service) ?? 0) >= maximumPlacementFailures && !isSpacious(scheduler, service)) {
+		return false;
+	}
+
+	return (failures.byOrganisation.get(organisation) ?? 0) < maximumPlacementFailures || isFarBelowLimit(scheduler, organisation);
+}
+
+function isSpacious({workers}: Scheduler, service: string): boolean {
+	let used = 0;
+	let capacity = 0;
+	for (const worker of workers.values()) {
+		if (worker.listing?.service === service) {
+			used += worker.used.cpuMillis;
+			capacity += worker.listing.capacity.cpuMillis;
+		}
+	}
+
+	return used < capacity * spaciousFraction;
+}
+
+function isFarBelowLimit({configuration, usedByOrganisation}: Scheduler, organisation: string): boolean {
+	const limit = configuration.organisations.find(({name}) => name === organisation)?.limit;
+	const used = usedByOrganisation.get(organisation);
+	if (limit === undefined || used === undefined) {
+		return true;
+	}
+
+	return [[used.cpuMillis, limit.cpuMillis], [used.memoryMb, limit.memoryMb], [used.accelerators, limit.accelerators]]
+		.every(([inUse = 0, most = 0]) => most === 0 || inUse < most * spaciousFraction);
+}
--- a/packages/core/src/jobs/placement/place-group.ts
+++ b/packages/core/src/jobs/placement/place-group.ts
@@ -4,9 +4,8 @@
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
 import {sendStart} from '../runs/send-start.js';
-import {getReservedResources} from './get-reserved-resources.js';
+import {getTotalResources} from './get-total-resources.js';
 import {chooseWorkers} from './choose-workers.js';
-import {addResources} from './add-resources.js';
 import {type RackForecasts} from './rack-forecast.js';
 import {waitsForData} from './waits-for-data.js';
 
@@ -26,9 +25,7 @@
 export function placeGroup(context: ReducerContext, group: TaskGroup, options: {step: StepState; workers: readonly Worker[]; forecasts?: RackForecasts}): Placement {
 	const {scheduler} = context;
 	const {step, workers, forecasts} = options;
-	const need = getReservedResources(group.definition);
-	const total = addResources({cpuMillis: 0, memoryMb: 0, accelerators: 0}, need, group.tasks.length);
-	if (!isWithinLimit(scheduler, group.job, total)) {
+	if (!isWithinLimit(scheduler, group.job, getTotalResources(group))) {
 		return 'unplaced';
 	}
 
--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -15,6 +15,8 @@
 import {fitsInto} from './fits-into.js';
 import {addResources} from './add-resources.js';
 import {ensureTickets} from './ensure-tickets.js';
+import {isEligible} from './is-eligible.js';
+import {satisfiesAntiAffinity} from './satisfies-anti-affinity.js';
 
 /** Number of start orders that may still be sent in this round. */
 export type OrderBudget = {orders: number};
@@ -42,7 +44,7 @@
 export function placeIsolatedGroups(context: ReducerContext, options: {jobs: readonly ActiveJob[]; schedulable: ReadonlyMap<string, Worker[]>; budget: OrderBudget}): void {
 	const {scheduler, now} = context;
 	const {jobs, schedulable, budget} = options;
-	const suspects = jobs.map(job => findSuspect(job, now)).filter(suspect => suspect !== undefined)
+	const suspects = jobs.flatMap(job => listSuspects(job, now))
 		.toSorted((left, right) => left.group.crashedRuns.size - right.group.crashedRuns.size);
 	if (suspects.length === 0) {
 		return;
@@ -66,24 +68,30 @@
 			continue;
 		}
 
-		countByService.set(service, count + 1);
-		if (placeSuspect(context, {group, step}, workers)) {
-			budget.orders--;
+		const placement = placeSuspect(context, {group, step}, workers);
+		if (placement === 'unplaced') {
+			continue;
 		}
+
+		countByService.set(service, count + 1);
+		jobsInIsolation.add(group.job);
+		budget.orders -= placement === 'started' ? 1 : 0;
 	}
 }
 
-function findSuspect(job: ActiveJob, now: number): Suspect | undefined {
+/** Lists the first suspected group of each step: one that waits for a label, for example, does not keep those of other steps waiting. */
+function listSuspects(job: ActiveJob, now: number): Suspect[] {
+	const suspects: Suspect[] = [];
 	for (const steps of job.occurrences.values()) {
 		for (const step of steps) {
 			const group = step.groups.find(candidate => candidate.suspected && isUnassigned(candidate) && candidate.earliestStartAt <= now);
 			if (group !== undefined && isStepReady(steps, step)) {
-				return {group, step};
+				suspects.push({group, step});
 			}
 		}
 	}
 
-	return undefined;
+	return suspects;
 }
 
 function countIsolatedTasks(scheduler: Scheduler, now: number): {jobsInIsolation: Set<ActiveJob>; countByService: Map<string, number>} {
@@ -118,29 +126,29 @@
 	return used <= capacity * idleFraction ? Math.ceil(count * idleFraction) : Math.max(1, Math.floor(count * isolatedWorkerFraction));
 }
 
-/** Starts a suspected task on an empty worker, or empties one for it. Returns whether it was started. */
-function placeSuspect(context: ReducerContext, {group, step}: Suspect, workers: Worker[]): boolean {
+/** Starts a suspected task on an empty worker, or empties one for it. */
+function placeSuspect(context: ReducerContext, {group, step}: Suspect, workers: Worker[]): 'started' | 'emptying' | 'unplaced' {
 	const {now} = context;
 	const idle = workers.filter(worker => countOtherTasks(worker, now) === 0);
 	if (start(context, {group, step}, idle.filter(({tasks}) => tasks.size === 0)) || start(context, {group, step}, idle)) {
 		removeWorkerOf(group, workers);
-		return true;
+		return 'started';
 	}
 
-	const emptied = chooseWorkerToEmpty(group, workers, now);
+	const emptied = chooseWorkerToEmpty({group, step}, workers, now);
 	if (emptied === undefined) {
-		return false;
+		return 'unplaced';
 	}
 
 	// The wait begins with the choice of the worker: until then, the worker has been given other tasks.
 	group.emptying = group.emptying?.worker === emptied.id ? group.emptying : {worker: emptied.id, since: now};
 	workers.splice(workers.indexOf(emptied), 1);
-	return now - group.emptying.since > maximumEmptyingMs && start(context, {group, step}, [emptied]);
+	return now - group.emptying.since > maximumEmptyingMs && start(context, {group, step}, [emptied]) ? 'started' : 'emptying';
 }
 
 /** Keeps to the worker that is being emptied for a group already; otherwise takes the one with the fewest tasks. */
-function chooseWorkerToEmpty(group: TaskGroup, workers: readonly Worker[], now: number): Worker | undefined {
-	const suitable = workers.filter(worker => fitsOnceEmpty(group, worker, now));
+function chooseWorkerToEmpty({group, step}: Suspect, workers: readonly Worker[], now: number): Worker | undefined {
+	const suitable = workers.filter(worker => isEligible(group, step, worker) && satisfiesAntiAffinity(group, step, {worker, taken: []}) && fitsOnceEmpty(group, worker, now));
 	return suitable.find(({id}) => id === group.emptying?.worker)
 		?? suitable.toSorted((left, right) => countOtherTasks(left, now) - countOtherTasks(right, now))[0];
 }
@@ -175,7 +183,7 @@
 
 function fitsOnceEmpty({definition}: TaskGroup, worker: Worker, now: number): boolean {
 	const {listing} = worker;
-	if (listing === undefined || (definition.requirement !== '' && !listing.labels.includes(definition.requirement))) {
+	if (listing === undefined) {
 		return false;
 	}
 
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -1,8 +1,6 @@
 import {countOpenOrders} from '../runs/count-open-orders.js';
 import {type Resources} from '../state/configuration-schema.js';
-import {maximumPlacementFailures} from '../state/constants.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
-import {isWithinLimit} from '../order/is-within-limit.js';
 import {isStepReady} from '../state/is-step-ready.js';
 import {isUnassigned} from '../state/is-unassigned.js';
 import {measureUnreconciledUsage} from '../order/measure-unreconciled-usage.js';
@@ -12,8 +10,10 @@
 import {
 	type ActiveJob, type Task, type Scheduler, type StepState, type TaskGroup, type Worker,
 } from '../state/scheduler.js';
-import {getReservedResources} from './get-reserved-resources.js';
-import {reserveWorker} from './reserve-worker.js';
+import {isWorthTrying} from './is-worth-trying.js';
+import {recordFailure} from './record-failure.js';
+import {reserveWorkers} from './reserve-workers.js';
+import {type RoundFailures} from './round-failures.js';
 import {type OrderBudget, placeIsolatedGroups} from './place-isolated-groups.js';
 import {hasReadyTasks} from './has-ready-tasks.js';
 import {placeGroup} from './place-group.js';
@@ -28,6 +28,8 @@
 /** Stands for the service of a worker that the store no longer lists; it may run tasks of any service. */
 const unknownService = '';
 
+type Unplaced = {readonly group: TaskGroup; readonly step: StepState};
+
 type RoundOptions = {workers: readonly Worker[]; budget: OrderBudget; forecasts: RackForecasts};
 
 const noUnreconciledUsage = new Map<string, Resources>();
@@ -52,8 +54,7 @@
 
 	const schedulable = listSchedulableWorkers(scheduler, now);
 	const forecasts: RackForecasts = {byRack: new Map(), lastWait: undefined};
-	const failures = new Map<string, number>();
-	const limitFailures = new Map<string, number>();
+	const failures: RoundFailures = {byService: new Map(), byOrganisation: new Map()};
 	const ordered = orderJobs(scheduler, waiting, now);
 	logOrder(context);
 	placeIsolatedGroups(context, {jobs: ordered, schedulable, budget});
@@ -62,22 +63,18 @@
 			return;
 		}
 
-		const {organisation} = job.definition;
 		const service = job.outlook?.service ?? findQueuePolicy(scheduler, job).service;
 		const workers = schedulable.get(service) ?? [];
-		if (workers.length > 0 && (failures.get(service) ?? 0) < maximumPlacementFailures && (limitFailures.get(organisation) ?? 0) < maximumPlacementFailures) {
-			const unplaced = placeJob(context, job, {workers, budget, forecasts});
-			for (const group of unplaced) {
-				// An organisation at its upper limit must not keep the others from the service.
-				if (isWithinLimit(scheduler, job, getReservedResources(group.definition))) {
-					failures.set(service, (failures.get(service) ?? 0) + 1);
-				} else {
-					limitFailures.set(organisation, (limitFailures.get(organisation) ?? 0) + 1);
-				}
+		if (workers.length === 0 || !isWorthTrying(scheduler, job, {service, failures})) {
+			continue;
+		}
 
-				if (group.definition.longRunning) {
-					reserveWorker(context, group, workers);
-				}
+		for (const {group, step} of placeJob(context, job, {workers, budget, forecasts})) {
+			recordFailure(scheduler, failures, {
+				group, step, service, workers,
+			});
+			if (group.definition.longRunning) {
+				reserveWorkers(context, group, {step, workers});
 			}
 		}
 	}
@@ -117,9 +114,9 @@
 }
 
 /** Places as many tasks of a job as possible and returns the first group of each step that does not fit. */
-function placeJob(context: ReducerContext, job: ActiveJob, options: RoundOptions): TaskGroup[] {
+function placeJob(context: ReducerContext, job: ActiveJob, options: RoundOptions): Unplaced[] {
 	const {workers} = options;
-	const unplaced: TaskGroup[] = [];
+	const unplaced: Unplaced[] = [];
 	let isWaiting = false;
 	for (const steps of job.occurrences.values()) {
 		for (const step of steps) {
@@ -127,7 +124,7 @@
 				const {first, waiting} = placeStep(context, step, options);
 				isWaiting ||= waiting;
 				if (first !== undefined) {
-					unplaced.push(first);
+					unplaced.push({group: first, step});
 				}
 			}
 		}
