Start failed tasks again on the worker that has room

Cause: a worker on which a task has failed is excluded as long as any other worker is eligible, whether or not that one has room, and without an end.

Evidence: 16 new cases of choose-workers.test.ts vary why the other workers cannot take the task (room, label, anti-affinity, gang) and their number; all 16 fail without the fix.

Fix: workers without a failure are tried first. If they cannot take the task, workers on which it failed at least 2.5 s ago are tried as well, within the 3 s in which a job must start while there is capacity. A worker that fails everything is still excluded by its own back-off, which ends.

--- a/packages/core/src/jobs/placement/choose-workers.test.ts
+++ b/packages/core/src/jobs/placement/choose-workers.test.ts
@@ -3,7 +3,9 @@
 import {createActiveJob} from '../state/create-active-job.js';
 import {createWorker} from '../state/create-worker.js';
 import {jobSchema} from '../state/job-schema.js';
-import {type StepState, type Worker} from '../state/scheduler.js';
+import {
+	type StepState, type Task, type TaskGroup, type Worker,
+} from '../state/scheduler.js';
 import {createEstimates} from '../estimates/create-estimates.js';
 import {chooseWorkers} from './choose-workers.js';
 
@@ -31,7 +33,7 @@
 		const definition = job.definition.steps[0];
 		assert.ok(definition);
 		return {
-			job, occurrence: 0, step: 0, definition, failedWorkers: new Set<string>(), tasks: [{worker: undefined as Worker | undefined, index}],
+			job, occurrence: 0, step: 0, definition, failedWorkers: new Map<string, number>(), tasks: [{worker: undefined as Worker | undefined, index}],
 		};
 	});
 	const step = {
@@ -98,7 +100,7 @@
 	assert.ok(definition);
 	const tasks = Array.from({length: 4}, (_, index) => ({worker: undefined as Worker | undefined, index}));
 	const groups = (changes.gang ? [tasks] : tasks.map(task => [task])).map(members => ({
-		job, occurrence: 0, step: 0, definition, failedWorkers: new Set<string>(), tasks: members,
+		job, occurrence: 0, step: 0, definition, failedWorkers: new Map<string, number>(), tasks: members,
 	}));
 	const step = {
 		occurrence: 0, step: 0, groups, remaining: groups.length, tickets: undefined,
@@ -138,3 +140,63 @@
 		});
 	}
 });
+
+type Obstacle = {readonly step: Readonly<Partial<Record<'antiAffinity' | 'gang' | 'requirement', number | boolean | string>>>; readonly used: number};
+
+/** What keeps a task from the workers on which it has not failed. */
+const obstacles: Readonly<Record<string, Obstacle>> = {
+	'have no room': {step: {}, used: 15_500},
+	'have no room and the right label': {step: {requirement: 'b'}, used: 15_500},
+	'have reached its anti-affinity': {step: {antiAffinity: 1}, used: 1000},
+	'have room for a part of its gang': {step: {gang: true}, used: 13_000},
+};
+
+/** Offers a task that has failed on the first of several workers, which all others cannot run, those that are left. */
+function placeAfterFailure({step: changes, used}: Obstacle, options: {others: number; avoidedUntil: number; now: number}): Worker[] | undefined {
+	const [failed, ...others] = createWorkers(options.others + 1, 12);
+	assert.ok(failed);
+	const definition = jobSchema.parse({
+		id: 'a', queue: 'q', service: 'planner', organisation: 'north', acceptedAtMs: 0, maximumAttempts: 3, stretch: 1, targetLatencyMs: 0,
+		steps: [{count: 2, cpuMillis: 2000, ...changes}],
+	}).steps[0];
+	assert.ok(definition);
+	const job = {};
+	const tasks = Array.from({length: definition.gang ? options.others + 1 : 1}, (_, index) => ({index}));
+	const group = {
+		job, occurrence: 0, step: 0, definition, failedWorkers: new Map([[failed.id, options.avoidedUntil]]), tasks,
+	} as unknown as TaskGroup;
+	for (const worker of [failed, ...others]) {
+		assert.ok(worker.listing);
+		worker.listing = {...worker.listing, labels: ['b']};
+		worker.lastSeenAt = options.now;
+	}
+
+	for (const worker of others) {
+		worker.used = {...worker.used, cpuMillis: used};
+		if (definition.antiAffinity > 0) {
+			worker.tasks.add({group} as unknown as Task);
+		}
+	}
+
+	const step = {
+		occurrence: 0, step: 0, groups: [group], remaining: 1, tickets: undefined,
+	} as unknown as StepState;
+	return chooseWorkers(group, step, {candidates: [failed, ...others], now: options.now, estimates: createEstimates()});
+}
+
+describe('tasks that have failed on a worker', () => {
+	for (const [obstacle, setup] of Object.entries(obstacles)) {
+		for (const others of [1, 2, 12, 31]) {
+			it(`guards against a task that is never started again because ${others} other workers ${obstacle}`, () => {
+				const times = {others, avoidedUntil: 2500};
+				assert.equal(placeAfterFailure(setup, {...times, now: 2400}), undefined);
+				assert.ok(placeAfterFailure(setup, {...times, now: 2500})?.some(({id}) => id === 'w0'));
+			});
+		}
+	}
+
+	it('guards against using a worker on which the task has failed while another has room', () => {
+		const chosen = placeAfterFailure({step: {}, used: 1000}, {others: 1, avoidedUntil: 2500, now: 60_000});
+		assert.deepEqual(chosen?.map(({id}) => id), ['w1']);
+	});
+});
--- a/packages/core/src/jobs/placement/choose-workers.ts
+++ b/packages/core/src/jobs/placement/choose-workers.ts
@@ -25,8 +25,24 @@
 export function chooseWorkers(group: TaskGroup, stepState: StepState, options: {candidates: readonly Worker[]; now: number; estimates: Estimates}): Worker[] | undefined {
 	const {candidates, now, estimates} = options;
 	const eligible = candidates.filter(worker => isEligible(group, stepState, worker));
-	const preferred = eligible.filter(({id, lastSeenAt}) => !group.failedWorkers.has(id) && now - lastSeenAt < staleWorkerMs);
-	const workers = preferred.length > 0 ? preferred : eligible;
+	const fresh = eligible.filter(({lastSeenAt}) => now - lastSeenAt < staleWorkerMs);
+	const preferred = fresh.filter(({id}) => !group.failedWorkers.has(id));
+	if (preferred.length === 0) {
+		return chooseBySpeed(group, stepState, {workers: eligible, now, estimates});
+	}
+
+	const chosen = chooseBySpeed(group, stepState, {workers: preferred, now, estimates});
+	if (chosen !== undefined || preferred.length === fresh.length) {
+		return chosen;
+	}
+
+	// The preferred workers lack room, so the others are used as well once they are no longer avoided.
+	const permitted = fresh.filter(({id}) => (group.failedWorkers.get(id) ?? 0) <= now);
+	return permitted.length > preferred.length ? chooseBySpeed(group, stepState, {workers: permitted, now, estimates}) : undefined;
+}
+
+function chooseBySpeed(group: TaskGroup, stepState: StepState, options: {workers: readonly Worker[]; now: number; estimates: Estimates}): Worker[] | undefined {
+	const {workers, now, estimates} = options;
 	const {fast, slow} = splitBySpeed(estimates, workers, now);
 	// A step that only slow workers can run is not held back.
 	if (fast.length === 0) {
--- a/packages/core/src/jobs/runs/handle-task-end.ts
+++ b/packages/core/src/jobs/runs/handle-task-end.ts
@@ -1,5 +1,5 @@
 import {
-	initialBackoffMs, maximumBackoffMs, failureThreshold, restartDelayMs,
+	failedWorkerAvoidanceMs, initialBackoffMs, maximumBackoffMs, failureThreshold, restartDelayMs,
 } from '../state/constants.js';
 import {findRun} from '../copies/find-run.js';
 import {hasAttemptForDuplicate} from '../copies/has-attempt-for-duplicate.js';
@@ -60,7 +60,7 @@
 			return;
 		}
 
-		group.failedWorkers.add(worker.id);
+		group.failedWorkers.set(worker.id, context.now + failedWorkerAvoidanceMs);
 		countWorkerFailure(context, worker);
 		countGroupFailure(context, group, ended.run);
 	},
--- a/packages/core/src/jobs/runs/supervise-workers.ts
+++ b/packages/core/src/jobs/runs/supervise-workers.ts
@@ -1,5 +1,5 @@
 import {
-	crashDetectionMs, orderRetryMs, reportWaitMs, longRunningStartupTimeoutMs, stallTimeoutMs,
+	crashDetectionMs, failedWorkerAvoidanceMs, orderRetryMs, reportWaitMs, longRunningStartupTimeoutMs, stallTimeoutMs,
 } from '../state/constants.js';
 import {confirmSlowWorkers} from '../estimates/confirm-slow-workers.js';
 import {forgetCrashes} from '../crashes/forget-crashes.js';
@@ -88,7 +88,7 @@
 		// A stall reaches `failureThreshold` at once: after the back-off, the worker gets one task at a time until one is done.
 		worker.consecutiveFailures += 2;
 		worker.backoffUntil = now + (stallTimeoutMs * 2);
-		task.group.failedWorkers.add(worker.id);
+		task.group.failedWorkers.set(worker.id, now + failedWorkerAvoidanceMs);
 		stopTask(context, task);
 	}
 }
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -49,6 +49,9 @@
 /** Pause before an unanswered order is repeated. */
 export const orderRetryMs = 300;
 
+/** Time after a failed run in which its task waits for room on other workers; a job must start within 3 s while there is capacity for it. */
+export const failedWorkerAvoidanceMs = 2500;
+
 /** Consecutive failures after which a worker gets no tasks for a time; a single one may be the fault of the task. */
 export const failureThreshold = 2;
 
--- a/packages/core/src/jobs/state/open-occurrences.ts
+++ b/packages/core/src/jobs/state/open-occurrences.ts
@@ -71,7 +71,7 @@
 		done: false,
 		earliestStartAt: 0,
 		unassignedSince: context.now,
-		failedWorkers: new Set(),
+		failedWorkers: new Map(),
 		duplicatedAt: Number.NEGATIVE_INFINITY,
 		durationMs: undefined,
 		relocatedAt: undefined,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -181,8 +181,8 @@
 	earliestStartAt: number;
 	/** Local time since which none of its tasks has been assigned to a worker. */
 	unassignedSince: number;
-	/** Workers on which a run has failed or stalled; others are preferred. */
-	readonly failedWorkers: Set<string>;
+	/** Workers on which a run has failed or stalled, with the local time until which they are avoided while others could run the group; later, others are only preferred. */
+	readonly failedWorkers: Map<string, number>;
 	/** Local time of the last start of a duplicate run; `-Infinity` before the first. */
 	duplicatedAt: number;
 	/** Time in milliseconds from the last start order to the end of the run that is done; undefined if this owner did not order it. */
