End the probation of a worker beside long-running tasks

Callers would see a service shrink: a worker with two failures in a row and a long-running task on it gets no further task, however long it is sound.

Cause: such a worker gets one task at a time until one ends as done, and a long-running task never ends.

Evidence: two new cases of list-schedulable-workers.test.ts fail without the fix.

Fix: long-running tasks that are up do not count as the one task. One that is still starting up does, since it may show that the worker fails.

--- a/packages/core/src/jobs/placement/list-schedulable-workers.test.ts
+++ b/packages/core/src/jobs/placement/list-schedulable-workers.test.ts
@@ -4,6 +4,7 @@
 import {createScheduler} from '../state/create-scheduler.js';
 import {type SchedulerEvent} from '../state/event.js';
 import {reduceScheduler} from '../state/reduce-scheduler.js';
+import {type Task} from '../state/scheduler.js';
 import {listSchedulableWorkers} from './list-schedulable-workers.js';
 
 const configuration = configurationSchema.parse({
@@ -41,3 +42,34 @@
 		assert.equal(listSchedulableWorkers(scheduler, 0).get('planner')?.[0]?.listing?.capacity.cpuMillis, 2000);
 	});
 });
+
+describe('a worker that gets one task at a time after failures', () => {
+	for (const lasting of [1, 3]) {
+		it(`guards against its exclusion for ever by ${lasting} long-running tasks that are up`, () => {
+			const scheduler = createScheduler({term: 1, now: 0, configuration});
+			const dispatch = (event: SchedulerEvent) => reduceScheduler(scheduler, event, {now: 0, timeOfDay: 0});
+			dispatch(createListing(1, 8000));
+			dispatch(createReport(1));
+			for (const {number} of dispatch({type: 'ticked'}).filter(effect => effect.type === 'commit')) {
+				dispatch({type: 'committed', number});
+			}
+
+			const worker = scheduler.workers.get('w1');
+			assert.ok(worker);
+			worker.consecutiveFailures = 2;
+			const createTask = (longRunning: boolean, percent: number) => ({state: 'running', percent, group: {definition: {longRunning}}}) as unknown as Task;
+			const isSchedulable = () => listSchedulableWorkers(scheduler, 0).has('planner');
+			const starting = createTask(true, 99);
+			worker.tasks.add(starting);
+			assert.equal(isSchedulable(), false);
+			worker.tasks.delete(starting);
+			for (let count = 0; count < lasting; count++) {
+				worker.tasks.add(createTask(true, 100));
+			}
+
+			assert.equal(isSchedulable(), true);
+			worker.tasks.add(createTask(false, 100));
+			assert.equal(isSchedulable(), false);
+		});
+	}
+});
--- a/packages/core/src/jobs/placement/list-schedulable-workers.ts
+++ b/packages/core/src/jobs/placement/list-schedulable-workers.ts
@@ -1,6 +1,6 @@
 import {failureThreshold} from '../state/constants.js';
 import {isIsolated} from '../crashes/is-isolated.js';
-import {type Scheduler, type Worker} from '../state/scheduler.js';
+import {type Scheduler, type Task, type Worker} from '../state/scheduler.js';
 
 /**
  * Lists the workers of each service that may get new tasks.
@@ -45,5 +45,10 @@
 		&& ![...worker.tasks].some(task => isIsolated(task, now))
 		&& !scheduler.withdrawnZones.has(listing.availabilityZone)
 		// After its back-off, a failing worker gets one task at a time.
-		&& (worker.consecutiveFailures < failureThreshold || worker.tasks.size === 0);
+		&& (worker.consecutiveFailures < failureThreshold || ![...worker.tasks].some(task => mayFail(task)));
+}
+
+/** Tells whether the end of a task will show whether its worker still fails; a long-running task that is up does not end. */
+function mayFail({percent, group}: Task): boolean {
+	return !group.definition.longRunning || percent < 100;
 }
