Return workers to service when their wave is withdrawn

Callers would see a service shrink: a worker that is being drained for a wave of upkeep gets no tasks any more after the operators withdraw the wave.

Cause: the wave is dropped with its upkeeps, and nothing else clears the cordon of their workers.

Fix: the workers of withdrawn upkeeps return to service, unless another wave, a move or a drain still needs them empty.

--- a/packages/core/src/jobs/waves/reconcile-waves.ts
+++ b/packages/core/src/jobs/waves/reconcile-waves.ts
@@ -1,9 +1,13 @@
 import {takeoverSettlingMs} from '../state/constants.js';
-import {type WaveRequest} from '../state/instance.js';
+import {findWorkerOfInstance} from '../pools/find-worker-of-instance.js';
+import {type Wave, type WaveRequest} from '../state/instance.js';
 import {type ReducerContext} from '../state/reducer-context.js';
+import {type Scheduler} from '../state/scheduler.js';
+import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
 
 /**
- * Adds waves that the operators have requested, and drops waves that they no longer request.
+ * Adds waves that the operators have requested, and drops waves that they no longer request; workers that were being drained
+ * for these return to service.
  *
  * @param context - the reducer context; its state is changed
  * @param requests - all waves requested now
@@ -13,9 +17,10 @@
  */
 export function reconcileWaves(context: ReducerContext, requests: readonly WaveRequest[], done: ReadonlyMap<number, readonly string[]> = new Map()): void {
 	const {scheduler, now} = context;
-	for (const number of scheduler.waves.keys()) {
+	for (const [number, wave] of scheduler.waves) {
 		if (!requests.some(request => request.number === number)) {
 			scheduler.waves.delete(number);
+			uncordonWorkers(scheduler, wave);
 		}
 	}
 
@@ -39,3 +44,13 @@
 		});
 	}
 }
+
+/** Returns the workers to service that were being drained for a wave, unless their instances go down or move for another reason. */
+function uncordonWorkers(scheduler: Scheduler, {upkeeps}: Wave): void {
+	for (const {instance, state} of upkeeps.values()) {
+		const worker = state === 'pending' || state === 'done' ? undefined : findWorkerOfInstance(scheduler, instance);
+		if (worker !== undefined && !isUpkeepInProgress(scheduler, instance) && !scheduler.moves.has(instance) && !scheduler.drains.has(instance)) {
+			worker.cordoned = false;
+		}
+	}
+}
