Ask for tickets of each worker in the end

Cause: each request for tickets names the first 30 schedulable workers, in an order that stays the same, so that workers beyond them are never asked for.

Fix: a step remembers the incarnations that got no ticket and names others next, 100 at a time after a request without tickets. It asks for further workers with room while a group does not fit on those with tickets. Workers that got tickets for other jobs come first. Refusals end after 10 s, and a request without an answer refuses nobody.

--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -70,6 +70,10 @@
 
 		const placement = placeSuspect(context, {group, step}, workers);
 		if (placement === 'unplaced') {
+			if (step.tickets !== undefined) {
+				step.tickets.isInsufficient = true;
+			}
+
 			continue;
 		}
 
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -1,6 +1,7 @@
 import {countOpenOrders} from '../runs/count-open-orders.js';
 import {type Resources} from '../state/configuration-schema.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {isWithinLimit} from '../order/is-within-limit.js';
 import {isStepReady} from '../state/is-step-ready.js';
 import {isUnassigned} from '../state/is-unassigned.js';
 import {measureUnreconciledUsage} from '../order/measure-unreconciled-usage.js';
@@ -10,6 +11,7 @@
 import {
 	type ActiveJob, type Task, type Scheduler, type StepState, type TaskGroup, type Worker,
 } from '../state/scheduler.js';
+import {getTotalResources} from './get-total-resources.js';
 import {isWorthTrying} from './is-worth-trying.js';
 import {recordFailure} from './record-failure.js';
 import {reserveWorkers} from './reserve-workers.js';
@@ -157,6 +159,10 @@
 		const placement = placeGroup(context, group, {step, workers, forecasts});
 		if (placement === 'unplaced') {
 			first = group;
+			if (step.tickets !== undefined) {
+				step.tickets.isInsufficient = isWithinLimit(context.scheduler, group.job, getTotalResources(group));
+			}
+
 			break;
 		}
 
--- a/packages/core/src/jobs/runs/handle-start-answer.ts
+++ b/packages/core/src/jobs/runs/handle-start-answer.ts
@@ -38,12 +38,9 @@
 		worker.backoffUntil = Math.max(worker.backoffUntil, context.now + (initialBackoffMs / 4));
 		handleRefusal(context, task);
 	},
-	ticket(context, task) {
+	ticket(context, task, worker) {
 		const stepState = task.group.job.occurrences.get(task.group.occurrence)?.[task.group.step];
-		if (stepState !== undefined) {
-			stepState.tickets = undefined;
-		}
-
+		stepState?.tickets?.granted.delete(worker.id);
 		handleRefusal(context, task);
 	},
 	unhealthy(context, task, worker) {
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -106,9 +106,21 @@
 /** Shortest time between two changes of the speed of a best-effort task; an effect shows after half a second. */
 export const speedChangeIntervalMs = 800;
 
-/** Maximum number of workers in one request for tickets; the platform allows 100, and each one costs time. */
+/** Maximum number of workers in the first request for tickets of a step; each one costs time. */
 export const maximumTicketCandidates = 30;
 
+/** The same after a request without tickets; the platform allows no more. */
+export const maximumTicketCandidatesAfterRefusal = 100;
+
+/** Time after which a worker without a ticket is asked for again; the platform describes its decisions as final. */
+export const ticketRefusalMs = 10_000;
+
+/** Pause after a request for tickets that was not answered; the service refuses calls while too many wait. */
+export const ticketRetryMs = 200;
+
+/** Workers that are remembered as holders of tickets for a step of a queue, at most as many as one request names. */
+export const maximumTicketHolders = 100;
+
 /** Time after the loss of a worker's lease in which its next incarnation shows that it crashed; crashed workers are back within seconds. */
 export const crashDetectionMs = 15_000;
 
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -57,6 +57,7 @@
 		withdrawnZones: new Set(),
 		workers: new Map(),
 		endedIncarnations: new Map(),
+		ticketHolders: new Map(),
 		jobs: new Map(),
 		endingJobs: new Set(),
 		endedJobs: new Map(),
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -191,13 +191,26 @@
 	relocatedAt: number | undefined;
 };
 
-export type Ticket = {readonly value: string; readonly workerStartedAtMs: number};
+/** Permit for one incarnation of a worker to run a step. */
+export type Ticket = {readonly value: string; readonly workerStartedAtMs: number; readonly validUntil: number};
+
+/** A worker that got no ticket for a step, and when. */
+export type TicketRefusal = {readonly workerStartedAtMs: number; readonly refusedAt: number};
 
 export type TicketState = {
 	requestPending: boolean;
 	requestedAt: number;
-	validUntil: number;
+	/** Workers named in the last request. */
+	requestedWorkers: readonly string[];
+	/** Local time from which the next request may be sent; later than now after one without an answer. */
+	requestDueAt: number;
+	/** Requests in a row that were answered without a ticket. */
+	fruitlessRequests: number;
+	/** A group could not be placed on the workers with tickets, so further workers are asked for. */
+	isInsufficient: boolean;
+	/** Tickets by the id of the worker; expired ones are removed before each placement. */
 	readonly granted: Map<string, Ticket>;
+	readonly refused: Map<string, TicketRefusal>;
 };
 
 export type StepState = {
@@ -296,6 +309,8 @@
 	readonly workers: Map<string, Worker>;
 	/** Start time of the last incarnation of each worker that has definitely ended, by id; the store may still list it for a while. */
 	readonly endedIncarnations: Map<string, number>;
+	/** Workers that got tickets last, by queue and position of the step; they are asked for first. */
+	readonly ticketHolders: Map<string, Set<string>>;
 	readonly jobs: Map<string, ActiveJob>;
 	/** Jobs whose end is stored and whose tasks are still being stopped. */
 	readonly endingJobs: Set<ActiveJob>;
