Log why a ready task is not placed

Callers saw jobs that waited for seconds beside idle workers, and no line told why: event 636 counts what waits, not what it waits for.

No decision changes: the functions moved out of place-ready-tasks.ts (is-held-back, may-still-run, list-unreconciled-services) are the same. Each line is bounded to one for a service, organisation and reason in 5 s, 20 at once.

--- a/packages/cli/src/fleet/describe-place.ts
+++ b/packages/cli/src/fleet/describe-place.ts
@@ -1,4 +1,5 @@
 import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
+import {waitReasons, type WaitReason} from '@rosemaryquay/core/jobs/placement/wait-reason';
 import {type Job} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type View} from '@rosemaryquay/core/jobs/views/view-schema';
 
@@ -36,6 +37,11 @@
 	const lines = [describeOrder({
 		service, place, workAhead, waitingJobs, listed: listed.length,
 	})];
+	const wait = view.waits.find(([id]) => id === job.id);
+	if (wait !== undefined) {
+		lines.push(describeReason(wait));
+	}
+
 	if (pool !== undefined) {
 		lines.push(`Pool ${service} uses ${pool.used / 1000} of ${pool.capacity / 1000} cores on ${pool.workers} workers, of which ${pool.schedulable} may get tasks; ${pool.arriving} instances are moving to it.`);
 	}
@@ -54,6 +60,12 @@
 	};
 }
 
+function describeReason([, reason, sinceMs]: View['waits'][number]): string {
+	// An owner of a later version may know further reasons.
+	const endsWhen = waitReasons[reason as WaitReason] ?? 'see event 641 of the owner';
+	return `A task of it has waited since ${new Date(sinceMs).toISOString()}, reason ${reason}; it ends when: ${endsWhen}.`;
+}
+
 function describeOrder({service, place, workAhead, waitingJobs, listed}: {service: string; place: number | undefined; workAhead: number | undefined; waitingJobs: number; listed: number}): string {
 	if (place !== undefined) {
 		return `It is number ${place} of ${waitingJobs} waiting jobs of ${service}; ${workAhead} core-seconds of work are ahead of it.`;
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -18,18 +18,18 @@
 import {type RoundFailures} from './round-failures.js';
 import {type OrderBudget, placeIsolatedGroups} from './place-isolated-groups.js';
 import {hasReadyTasks} from './has-ready-tasks.js';
+import {isHeldBack} from './is-held-back.js';
 import {placeGroup} from './place-group.js';
 import {type RackForecasts} from './rack-forecast.js';
 import {updateDataWait} from './update-data-wait.js';
 import {listSchedulableWorkers} from './list-schedulable-workers.js';
+import {listUnreconciledServices} from './list-unreconciled-services.js';
+import {mayStillRun} from './may-still-run.js';
 import {ensureTickets} from './ensure-tickets.js';
 
 /** Maximum number of workers in a log line. */
 const maximumLoggedWorkers = 4;
 
-/** Stands for the service of a worker that the store no longer lists; it may run tasks of any service. */
-const unknownService = '';
-
 type Unplaced = {readonly group: TaskGroup; readonly step: StepState};
 
 type RoundOptions = {workers: readonly Worker[]; budget: OrderBudget; forecasts: RackForecasts};
@@ -98,23 +98,6 @@
 	return waiting;
 }
 
-/** Services of workers that may run tasks of a former owner and have not answered yet. */
-function listUnreconciledServices(scheduler: Scheduler, now: number): Set<string> {
-	const services = new Set<string>();
-	for (const {unreconciledUntil, listing} of scheduler.workers.values()) {
-		if (unreconciledUntil > now) {
-			services.add(listing?.service ?? unknownService);
-		}
-	}
-
-	return services;
-}
-
-/** Tells whether tasks of a job may still run on a worker that has not answered. */
-function mayStillRun(scheduler: Scheduler, job: ActiveJob, unreconciledServices: ReadonlySet<string>): boolean {
-	return unreconciledServices.has(unknownService) || unreconciledServices.has(job.definition.service) || unreconciledServices.has(findQueuePolicy(scheduler, job).service);
-}
-
 /** Places as many tasks of a job as possible and returns the first group of each step that does not fit. */
 function placeJob(context: ReducerContext, job: ActiveJob, options: RoundOptions): Unplaced[] {
 	const {workers} = options;
@@ -179,11 +162,6 @@
 	return {first, waiting};
 }
 
-/** The tasks of a step are identical, so while one of them may crash its worker, the others wait. Long-running tasks have to be up soon. */
-function isHeldBack({groups}: StepState): boolean {
-	return groups.some(({suspected, done, definition}) => suspected && !done && !definition.longRunning);
-}
-
 /** Logs one line for all tasks of a step that are placed at once. */
 function logPlacement({effects, now}: ReducerContext, stepState: StepState, placed: readonly Task[]): void {
 	const [first] = placed;
--- a/packages/core/src/jobs/state/complete-task-group.ts
+++ b/packages/core/src/jobs/state/complete-task-group.ts
@@ -24,6 +24,12 @@
 	}
 
 	stepState.remaining--;
+	if (stepState.remaining === 0) {
+		for (const later of steps) {
+			later.readySince = later.groups[0]?.definition.after.includes(step) ? context.now : later.readySince;
+		}
+	}
+
 	context.scheduler.dirtyJobs.add(job);
 	if (steps.every(({remaining}) => remaining === 0)) {
 		job.completedOccurrences++;
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -94,7 +94,9 @@
 		waves: new Map(),
 		dirtyWaves: new Set(),
 		estimates: createEstimates(options.farRatio === undefined ? {} : {farRatio: options.farRatio}),
-		views: {latest: undefined, published: '', forecasts: new Map()},
+		views: {
+			latest: undefined, published: '', forecasts: new Map(), loggedWaits: new Map(),
+		},
 	};
 	restoreSummary(scheduler, options.estimates, {now, timeOfDay});
 	for (const holder of holders) {
--- a/packages/core/src/jobs/state/open-occurrences.ts
+++ b/packages/core/src/jobs/state/open-occurrences.ts
@@ -32,7 +32,7 @@
 	const steps = job.definition.steps.map((definition, step): StepState => {
 		const groups = createGroups(context, job, {definition, occurrence, step});
 		return {
-			occurrence, step, groups, remaining: groups.length, tickets: undefined,
+			occurrence, step, groups, remaining: groups.length, readySince: context.now, tickets: undefined,
 		};
 	});
 	job.occurrences.set(occurrence, steps);
--- a/packages/core/src/jobs/state/publish-summary.ts
+++ b/packages/core/src/jobs/state/publish-summary.ts
@@ -1,7 +1,9 @@
 import {updateAdmission} from '../admission/update-admission.js';
 import {logPoolLoads} from '../pools/log-pool-loads.js';
 import {encodeView} from '../views/encode-view.js';
+import {logWaits} from '../views/log-waits.js';
 import {measureView} from '../views/measure-view.js';
+import {measureWaits} from '../views/measure-waits.js';
 import {summaryIntervalMs} from './constants.js';
 import {type QueueSummary} from './effect.js';
 import {type ReducerContext} from './reducer-context.js';
@@ -28,7 +30,10 @@
 		}
 	}
 
-	const latest = measureView(scheduler, {queues, now});
+	const waits = measureWaits(scheduler, now);
+	const latest = measureView(scheduler, {
+		queues, waits, now, timeOfDay: context.timeOfDay,
+	});
 	const view = encodeView(latest);
 	context.effects.push({
 		type: 'publish-summary', queues, admission: updateAdmission(context), ...(view !== scheduler.views.published && {view}),
@@ -36,4 +41,5 @@
 	scheduler.views.latest = latest;
 	scheduler.views.published = view;
 	logPoolLoads(context);
+	logWaits(context, waits);
 }
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -220,6 +220,8 @@
 	readonly step: number;
 	readonly groups: TaskGroup[];
 	remaining: number;
+	/** Local time since which the steps that it depends on are done; of no meaning before. */
+	readySince: number;
 	tickets: TicketState | undefined;
 };
 
--- a/packages/core/src/jobs/views/encode-view.test.ts
+++ b/packages/core/src/jobs/views/encode-view.test.ts
@@ -19,6 +19,8 @@
 		})),
 		backlogs: items.map(position => ({service: `s${position}`, jobs: 5000, work: 123_456.7})),
 		jobs: items.map(position => ['planner', `00000000000000a${position}`, position + 1, 123_456.7]),
+		waitCounts: items.map(position => ({service: `s${position}`, reason: 'step-in-isolation', jobs: 5000})),
+		waits: items.map(position => [`00000000000000a${position}`, 'step-in-isolation', 1_796_466_000_000]),
 	};
 }
 
--- a/packages/core/src/jobs/views/encode-view.ts
+++ b/packages/core/src/jobs/views/encode-view.ts
@@ -2,7 +2,7 @@
 
 /** Largest size of each part in bytes, with the whole below the 16 kB of its store entry. */
 const maximumBytes = {
-	pools: 5500, queues: 1500, shares: 4000, backlogs: 1000, jobs: 3700,
+	pools: 5500, queues: 1500, shares: 4000, backlogs: 1000, jobs: 2300, waitCounts: 600, waits: 800,
 } as const;
 
 const encoder = new TextEncoder();
@@ -13,9 +13,9 @@
  * @param view - the view
  * @returns JSON text of less than 16 kB
  * @example
- * encodeView(measureView(scheduler, {queues, now})).length;
+ * encodeView(measureView(scheduler, options)).length;
  */
-export function encodeView({term, pools, queues, shares, backlogs, jobs}: View): string {
+export function encodeView({term, pools, queues, shares, backlogs, jobs, waitCounts, waits}: View): string {
 	const fittingView: View = {
 		term,
 		pools: takeFitting(pools, maximumBytes.pools),
@@ -23,6 +23,8 @@
 		shares: takeFitting(shares, maximumBytes.shares),
 		backlogs: takeFitting(backlogs, maximumBytes.backlogs),
 		jobs: takeFitting(jobs, maximumBytes.jobs),
+		waitCounts: takeFitting(waitCounts, maximumBytes.waitCounts),
+		waits: takeFitting(waits, maximumBytes.waits),
 	};
 	return JSON.stringify(fittingView);
 }
--- a/packages/core/src/jobs/views/view-schema.ts
+++ b/packages/core/src/jobs/views/view-schema.ts
@@ -38,6 +38,12 @@
 /** Waiting job: its service, id, place in the order of the service from 1, and work of the jobs before it in core-seconds. */
 const waitingJobSchema = z.tuple([z.string(), z.string(), z.number(), z.number()]);
 
+/** Jobs of a service that have waited for more than 1.5 s, by the reason. */
+const waitCountSchema = z.object({service: z.string(), reason: z.string(), jobs: z.number()});
+
+/** Job that has waited for more than 1.5 s: its id, the reason, and the wall-clock time in milliseconds since which it has waited. */
+const jobWaitSchema = z.tuple([z.string(), z.string(), z.number()]);
+
 /** View of the schedule that the owner publishes for operators. */
 export const viewSchema = z.object({
 	/** Term of the owner that has measured the view. */
@@ -49,10 +55,14 @@
 	backlogs: z.array(backlogViewSchema),
 	/** The first waiting jobs of each service. */
 	jobs: z.array(waitingJobSchema),
+	waitCounts: z.array(waitCountSchema).default([]),
+	/** The jobs that have waited longest. */
+	waits: z.array(jobWaitSchema).default([]),
 });
 
 export type View = z.infer<typeof viewSchema>;
 export type PoolView = z.infer<typeof poolViewSchema>;
 export type ShareView = z.infer<typeof shareViewSchema>;
 export type BacklogView = z.infer<typeof backlogViewSchema>;
+export type WaitCount = z.infer<typeof waitCountSchema>;
 export type WaitingJob = z.infer<typeof waitingJobSchema>;
--- a/packages/core/src/jobs/views/view-state.ts
+++ b/packages/core/src/jobs/views/view-state.ts
@@ -10,4 +10,6 @@
 	/** The view as it was last published; empty if none was, or if it was not stored. */
 	published: string;
 	readonly forecasts: Map<string, ForecastHistory>;
+	/** Local time at which the wait of the jobs of an organisation was last logged, by service, organisation and reason. */
+	readonly loggedWaits: Map<string, number>;
 };
--- a/packages/daemon/src/jobs/fleet-process.ts
+++ b/packages/daemon/src/jobs/fleet-process.ts
@@ -54,6 +54,7 @@
 				poolCores: {help: 'Capacity, use, forecast demand and mean error of the forecast of each pool in cores, at the owner', labelNames: ['pool', 'kind'], read: () => listViewGauges(this.#schedulerRunner?.view).poolCores},
 				organisationCores: {help: 'Usage, share and waiting tasks of organisations that compete for a service in cores, at the owner; at most 20 organisations of a service', labelNames: ['service', 'organisation', 'kind'], read: () => listViewGauges(this.#schedulerRunner?.view).organisationCores},
 				waitingJobs: {help: 'Jobs with tasks that wait to be placed, by service, at the owner', labelNames: ['service'], read: () => listViewGauges(this.#schedulerRunner?.view).waitingJobs},
+				waitReasons: {help: 'Jobs that have waited for more than 1.5 s, by service and reason, at the owner', labelNames: ['service', 'reason'], read: () => listViewGauges(this.#schedulerRunner?.view).waitReasons},
 			},
 		});
 		const logger = metrics.countEvents(options.logger);
--- a/packages/daemon/src/jobs/list-view-gauges.ts
+++ b/packages/daemon/src/jobs/list-view-gauges.ts
@@ -20,12 +20,13 @@
  * @example
  * listViewGauges(view).poolInstances;
  */
-export function listViewGauges(view: View | undefined): {poolInstances: LabelledValue[]; poolCores: LabelledValue[]; organisationCores: LabelledValue[]; waitingJobs: LabelledValue[]} {
-	const {pools = [], shares = [], backlogs = []} = view ?? {};
+export function listViewGauges(view: View | undefined): {poolInstances: LabelledValue[]; poolCores: LabelledValue[]; organisationCores: LabelledValue[]; waitingJobs: LabelledValue[]; waitReasons: LabelledValue[]} {
+	const {pools = [], shares = [], backlogs = [], waitCounts = []} = view ?? {};
 	return {
 		poolInstances: pools.flatMap(pool => instanceStates.map(state => ({labels: {pool: pool.name, state}, value: pool[state]}))),
 		poolCores: pools.filter(({spare}) => !spare).flatMap(pool => poolCores.map(kind => ({labels: {pool: pool.name, kind}, value: pool[kind] / millisPerCore}))),
 		organisationCores: shares.flatMap(share => organisationCores.map(kind => ({labels: {service: share.service, organisation: share.organisation, kind}, value: share[kind] / millisPerCore}))),
 		waitingJobs: backlogs.map(({service, jobs}) => ({labels: {service}, value: jobs})),
+		waitReasons: waitCounts.map(({service, reason, jobs}) => ({labels: {service, reason}, value: jobs})),
 	};
 }
--- a/packages/daemon/src/jobs/process-metrics.test.ts
+++ b/packages/daemon/src/jobs/process-metrics.test.ts
@@ -17,6 +17,8 @@
 	}],
 	backlogs: [{service: 'planner', jobs: 9, work: 120.5}],
 	jobs: [],
+	waitCounts: [{service: 'planner', reason: 'limit', jobs: 7}],
+	waits: [],
 };
 
 function createMetrics(read: () => readonly LabelledValue[], labelNames: readonly string[]): ProcessMetrics {
@@ -25,12 +27,13 @@
 
 describe('metrics of the process', () => {
 	it('show usage against share, instances by pool and the error of the forecast', async () => {
-		const {poolInstances, poolCores, organisationCores, waitingJobs} = listViewGauges(view);
+		const {poolInstances, poolCores, organisationCores, waitingJobs, waitReasons} = listViewGauges(view);
 		const {text} = await createMetrics(() => organisationCores, ['service', 'organisation', 'kind']).format();
 		assert.match(text, /rosemaryquay_measured_cores{service="planner",organisation="north",kind="share"} 32/);
 		assert.deepEqual(poolInstances.filter(({labels}) => labels.state === 'instances').map(({value}) => value), [4, 5]);
 		assert.deepEqual(poolCores.find(({labels}) => labels.kind === 'forecastError'), {labels: {pool: 'planner', kind: 'forecastError'}, value: 2.5});
 		assert.equal(waitingJobs[0]?.value, 9);
+		assert.deepEqual(waitReasons, [{labels: {service: 'planner', reason: 'limit'}, value: 7}]);
 		assert.deepEqual(listViewGauges(undefined).poolInstances, []);
 	});
 
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -243,6 +243,10 @@
 	'pool-load': {
 		number: 636, level: 'info', text: 'Load and capacity of a pool, once a second, in thousandths of a core; instances that it keeps (`kept`) and is filled up to (`prepared`); time to the predicted next burst of any pool and its error in milliseconds', action: 'Look here for why jobs wait: no schedulable workers, no free capacity, or organisations at their limit.',
 	},
+	'tasks-waiting': {
+		number: 641, level: 'warn', text: 'Jobs of an organisation have waited on a service for more than 1.5 s for the same reason; `job` and `task` are those that have waited longest, `details` what they wait for. Every 5 s at most',
+		action: 'See `endsWhen`. If the reason is `room` or `limit`, look at event 636; if it is `no-worker`, check the workers.',
+	},
 	'order-decided': {
 		number: 645, level: 'info', text: 'Organisations compete for the services named; usage, waiting work and share of each, once a second at most, in thousandths of a core', action: 'Look here for why jobs of an organisation wait: those beyond its share are placed after those of the others.',
 	},
