Start a task that no end of others will let under its upper limit

Cause: a task started only if its whole organisation stayed within its limit. A task that needs more than what long-running tasks of the organisation leave, or more than the limit, waited for an end or a change of the configuration that may never come. Class: a wait whose end needs an event that may not happen.

After 1.5 s, a single task may exceed the limit while less than half of it is in use, as the platform allows ("one task more"); usage that is not reconciled after a takeover counts. A gang may not, and neither may a duplicate run.

--- a/packages/core/src/jobs/placement/explain-wait.ts
+++ b/packages/core/src/jobs/placement/explain-wait.ts
@@ -1,5 +1,4 @@
 import {countOpenOrders} from '../runs/count-open-orders.js';
-import {isWithinLimit} from '../order/is-within-limit.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {
 	type Scheduler, type StepState, type TaskGroup, type Worker,
@@ -11,6 +10,7 @@
 import {getTotalResources} from './get-total-resources.js';
 import {isEligible} from './is-eligible.js';
 import {isHeldBack} from './is-held-back.js';
+import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {mayStillRun} from './may-still-run.js';
 import {satisfiesAntiAffinity} from './satisfies-anti-affinity.js';
 import {type Wait} from './wait-reason.js';
@@ -38,12 +38,11 @@
 		return {reason: 'restart-delay', details: {leftMs: Math.round(earliestStartAt - now)}};
 	}
 
-	const need = getTotalResources(group);
-	if (!isWithinLimit(scheduler, job, need)) {
+	if (!mayStartUnderLimit(scheduler, group, now)) {
 		const {organisation} = job.definition;
 		return {
 			reason: 'limit', details: {
-				organisation, need, used: scheduler.usedByOrganisation.get(organisation), unreconciled: scheduler.unreconciledByOrganisation.get(organisation), limit: scheduler.configuration.organisations.find(({name}) => name === organisation)?.limit,
+				organisation, need: getTotalResources(group), used: scheduler.usedByOrganisation.get(organisation), unreconciled: scheduler.unreconciledByOrganisation.get(organisation), limit: scheduler.configuration.organisations.find(({name}) => name === organisation)?.limit,
 			},
 		};
 	}
--- a/packages/core/src/jobs/placement/is-worth-trying.ts
+++ b/packages/core/src/jobs/placement/is-worth-trying.ts
@@ -1,8 +1,9 @@
+import {isFarBelowLimit} from '../order/is-far-below-limit.js';
 import {maximumPlacementFailures} from '../state/constants.js';
 import {type ActiveJob, type Scheduler} from '../state/scheduler.js';
 import {type RoundFailures} from './round-failures.js';
 
-/** Part of a service's cores, and of an upper limit, up to which every waiting job is tried: that much room must not stay unused because of jobs that do not fit into it. */
+/** Part of a service's cores up to which every waiting job is tried: that much room must not stay unused because of jobs that do not fit into it. */
 const spaciousFraction = 0.5;
 
 /**
@@ -37,14 +38,3 @@
 
 	return used < capacity * spaciousFraction;
 }
-
-function isFarBelowLimit({configuration, usedByOrganisation}: Scheduler, organisation: string): boolean {
-	const limit = configuration.organisations.find(({name}) => name === organisation)?.limit;
-	const used = usedByOrganisation.get(organisation);
-	if (limit === undefined || used === undefined) {
-		return true;
-	}
-
-	return [[used.cpuMillis, limit.cpuMillis], [used.memoryMb, limit.memoryMb], [used.accelerators, limit.accelerators]]
-		.every(([inUse = 0, most = 0]) => most === 0 || inUse < most * spaciousFraction);
-}
--- a/packages/core/src/jobs/placement/place-group.ts
+++ b/packages/core/src/jobs/placement/place-group.ts
@@ -1,10 +1,9 @@
 import {assignTask} from '../runs/assign-task.js';
 import {chooseRunNumber} from '../runs/choose-run-number.js';
-import {isWithinLimit} from '../order/is-within-limit.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
 import {sendStart} from '../runs/send-start.js';
-import {getTotalResources} from './get-total-resources.js';
+import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {chooseWorkers} from './choose-workers.js';
 import {type RackForecasts} from './rack-forecast.js';
 import {waitsForData} from './waits-for-data.js';
@@ -25,7 +24,7 @@
 export function placeGroup(context: ReducerContext, group: TaskGroup, options: {step: StepState; workers: readonly Worker[]; forecasts?: RackForecasts}): Placement {
 	const {scheduler} = context;
 	const {step, workers, forecasts} = options;
-	if (!isWithinLimit(scheduler, group.job, getTotalResources(group))) {
+	if (!mayStartUnderLimit(scheduler, group, context.now)) {
 		return 'unplaced';
 	}
 
--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -5,11 +5,11 @@
 import {isIsolated} from '../crashes/is-isolated.js';
 import {isStepReady} from '../state/is-step-ready.js';
 import {isUnassigned} from '../state/is-unassigned.js';
-import {isWithinLimit} from '../order/is-within-limit.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {
 	type ActiveJob, type Scheduler, type StepState, type TaskGroup, type Worker,
 } from '../state/scheduler.js';
+import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {placeGroup} from './place-group.js';
 import {getReservedResources} from './get-reserved-resources.js';
 import {fitsInto} from './fits-into.js';
@@ -64,7 +64,7 @@
 			continue;
 		}
 
-		if (!isWithinLimit(scheduler, group.job, getReservedResources(group.definition)) || !ensureTickets(context, step, workers)) {
+		if (!mayStartUnderLimit(scheduler, group, now) || !ensureTickets(context, step, workers)) {
 			continue;
 		}
 
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -1,7 +1,6 @@
 import {countOpenOrders} from '../runs/count-open-orders.js';
 import {type Resources} from '../state/configuration-schema.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
-import {isWithinLimit} from '../order/is-within-limit.js';
 import {isStepReady} from '../state/is-step-ready.js';
 import {isUnassigned} from '../state/is-unassigned.js';
 import {measureUnreconciledUsage} from '../order/measure-unreconciled-usage.js';
@@ -11,7 +10,6 @@
 import {
 	type ActiveJob, type Task, type Scheduler, type StepState, type TaskGroup, type Worker,
 } from '../state/scheduler.js';
-import {getTotalResources} from './get-total-resources.js';
 import {isWorthTrying} from './is-worth-trying.js';
 import {recordFailure} from './record-failure.js';
 import {reserveWorkers} from './reserve-workers.js';
@@ -24,6 +22,7 @@
 import {updateDataWait} from './update-data-wait.js';
 import {listSchedulableWorkers} from './list-schedulable-workers.js';
 import {listUnreconciledServices} from './list-unreconciled-services.js';
+import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {mayStillRun} from './may-still-run.js';
 import {ensureTickets} from './ensure-tickets.js';
 
@@ -73,7 +72,7 @@
 
 		for (const {group, step} of placeJob(context, job, {workers, budget, forecasts})) {
 			recordFailure(scheduler, failures, {
-				group, step, service, workers,
+				group, step, service, workers, now,
 			});
 			if (group.definition.longRunning) {
 				reserveWorkers(context, group, {step, workers});
@@ -143,7 +142,7 @@
 		if (placement === 'unplaced') {
 			first = group;
 			if (step.tickets !== undefined) {
-				step.tickets.isInsufficient = isWithinLimit(context.scheduler, group.job, getTotalResources(group));
+				step.tickets.isInsufficient = mayStartUnderLimit(context.scheduler, group, context.now);
 			}
 
 			break;
--- a/packages/core/src/jobs/placement/record-failure.ts
+++ b/packages/core/src/jobs/placement/record-failure.ts
@@ -1,9 +1,8 @@
-import {isWithinLimit} from '../order/is-within-limit.js';
 import {
 	type Scheduler, type StepState, type TaskGroup, type Worker,
 } from '../state/scheduler.js';
 import {findObtainableWorkers} from './find-obtainable-workers.js';
-import {getTotalResources} from './get-total-resources.js';
+import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {type RoundFailures} from './round-failures.js';
 
 /**
@@ -12,14 +11,14 @@
  *
  * @param scheduler - the state
  * @param failures - failures of the round; changed
- * @param attempt - the group, its step, the service and its schedulable workers
+ * @param attempt - the group, its step, the service and its schedulable workers, and the local time in milliseconds
  * @example
- * recordFailure(scheduler, failures, {group, step, service: 'planner', workers});
+ * recordFailure(scheduler, failures, {group, step, service: 'planner', workers, now});
  */
-export function recordFailure(scheduler: Scheduler, failures: RoundFailures, attempt: {group: TaskGroup; step: StepState; service: string; workers: readonly Worker[]}): void {
-	const {group, step, service, workers} = attempt;
+export function recordFailure(scheduler: Scheduler, failures: RoundFailures, attempt: {group: TaskGroup; step: StepState; service: string; workers: readonly Worker[]; now: number}): void {
+	const {group, step, service, workers, now} = attempt;
 	const {byService, byOrganisation} = failures;
-	if (!isWithinLimit(scheduler, group.job, getTotalResources(group))) {
+	if (!mayStartUnderLimit(scheduler, group, now)) {
 		// An organisation at its upper limit must not keep the others from the service.
 		const {organisation} = group.job.definition;
 		byOrganisation.set(organisation, (byOrganisation.get(organisation) ?? 0) + 1);
--- a/packages/core/src/jobs/placement/reserve-workers.ts
+++ b/packages/core/src/jobs/placement/reserve-workers.ts
@@ -1,4 +1,3 @@
-import {isWithinLimit} from '../order/is-within-limit.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
 import {stopTask} from '../runs/stop-task.js';
@@ -6,7 +5,7 @@
 import {findObtainableWorkers} from './find-obtainable-workers.js';
 import {fitsInto} from './fits-into.js';
 import {getReservedResources} from './get-reserved-resources.js';
-import {getTotalResources} from './get-total-resources.js';
+import {mayStartUnderLimit} from './may-start-under-limit.js';
 
 /** Time for which a long-running task waits before other tasks are preempted for it; the platform requires it to be running again within 6 s. */
 const preemptionDelayMs = 1500;
@@ -24,7 +23,7 @@
  * reserveWorkers(context, group, {step, workers});
  */
 export function reserveWorkers(context: ReducerContext, group: TaskGroup, {step, workers}: {step: StepState; workers: Worker[]}): void {
-	if (!isWithinLimit(context.scheduler, group.job, getTotalResources(group))) {
+	if (!mayStartUnderLimit(context.scheduler, group, context.now)) {
 		return;
 	}
 
