Try one task of a step at a time while tasks crash their workers

Cause: each worker that came back was filled with everything that waited, so one task at fault took dozens of others with it, all of them became suspects, and suspects run alone, one of a job at a time. The time to the end grew with the number of tasks that waited, not with the number at fault. Class: a queue that is fed faster than it drains.

While a service has suspects, or has given a task up within 10 s, a step starts with one task, on at most half of the workers, four such tasks on each; the rest follow once a report has shown it running after 300 ms. Proof is the report that lists the run: an answer to another call may come from the next incarnation. A task that is given up explains the crashes that it shared, so their other runs need no isolation. Long-running tasks are not suspected while another one of their step has been up for long. A run whose start was not answered counts among the last ones started, and not as confirmed.

--- a/packages/core/src/jobs/crashes/count-crash.ts
+++ b/packages/core/src/jobs/crashes/count-crash.ts
@@ -4,6 +4,7 @@
 import {giveUpTask} from '../runs/give-up-task.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type LostRun} from '../state/scheduler.js';
+import {isSiblingProven} from './is-sibling-proven.js';
 import {listStoredCrashes} from './list-stored-crashes.js';
 
 /**
@@ -25,7 +26,7 @@
 
 	crashedRuns.add(run);
 	group.earliestStartAt = isolated ? 0 : group.earliestStartAt;
-	group.suspected ||= (recent || crashedRuns.size >= suspicionLimit) && group.tasks.length === 1;
+	group.suspected ||= ((recent && !isSiblingProven(group)) || crashedRuns.size >= suspicionLimit) && group.tasks.length === 1;
 	if (listStoredCrashes(group).length > 0) {
 		context.scheduler.dirtyJobs.add(job);
 	}
--- a/packages/core/src/jobs/crashes/describe-lost-runs.ts
+++ b/packages/core/src/jobs/crashes/describe-lost-runs.ts
@@ -17,14 +17,16 @@
 	const tasks = [...worker.tasks].filter(task => !isHarmless(task, worker.lastResponseAt));
 	const latestStartAt = Math.max(...tasks.filter(({state}) => state === 'running').map(({lastOrderAt}) => lastOrderAt));
 	return tasks.map(task => {
-		const {run, state, lastOrderAt, group} = task;
+		const {run, state, lastOrderAt, startOrders, group} = task;
+		// A worker may crash before it answers the order; the task is then started again, and stopped when that fails as well.
+		const isUnanswered = state === 'starting' || (state === 'stopping' && startOrders > 1);
 		return {
 			task,
 			run,
 			ageMs: now - lastOrderAt,
-			confirmed: state !== 'starting',
+			confirmed: !isUnanswered,
 			// Tasks that a former owner started have no time of their start.
-			recent: state === 'running' && lastOrderAt > 0 && lastOrderAt >= latestStartAt - recentStartMs,
+			recent: (state === 'running' || isUnanswered) && lastOrderAt > 0 && lastOrderAt >= latestStartAt - recentStartMs,
 			isolated: group.isolation?.run === run && !hasLaterStart(tasks, task),
 		};
 	});
--- a/packages/core/src/jobs/crashes/record-loss.ts
+++ b/packages/core/src/jobs/crashes/record-loss.ts
@@ -1,9 +1,10 @@
-import {explanationWaitMs} from '../state/constants.js';
+import {crashRetentionMs, explanationWaitMs} from '../state/constants.js';
 import {isPlannedEnd} from '../runs/is-planned-end.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {type Worker} from '../state/scheduler.js';
+import {type LostRun, type Worker} from '../state/scheduler.js';
 import {describeLostRuns} from './describe-lost-runs.js';
 import {countCrash} from './count-crash.js';
+import {isSiblingProven} from './is-sibling-proven.js';
 
 /** Maximum number of runs in a log line. */
 const maximumLoggedRuns = 20;
@@ -29,7 +30,7 @@
 	if (reason === 'lease-lapsed') {
 		worker.unexplainedLoss = {lostAt: now, runs};
 		for (const {task: {group}, recent, isolated} of runs) {
-			group.suspected ||= recent && group.tasks.length === 1;
+			group.suspected ||= recent && group.tasks.length === 1 && !isSiblingProven(group);
 			if (isolated && !group.definition.longRunning) {
 				group.earliestStartAt = now + explanationWaitMs;
 			}
@@ -44,7 +45,17 @@
 			worker: worker.id, reason, count: runs.length, runs: youngest.map(({task, run, ageMs}) => [task.id, run, Math.round(ageMs)]),
 		},
 	});
+	recordCrash(context, runs);
 	for (const run of runs) {
 		countCrash(context, run);
 	}
 }
+
+function recordCrash({scheduler, now}: ReducerContext, runs: readonly LostRun[]): void {
+	const {crashes} = scheduler;
+	while (crashes[0] !== undefined && now - crashes[0].at > crashRetentionMs) {
+		crashes.shift();
+	}
+
+	crashes.push({at: now, runs: runs.map(({task: {group}, run}) => ({group, run}))});
+}
--- a/packages/core/src/jobs/placement/explain-wait.test.ts
+++ b/packages/core/src/jobs/placement/explain-wait.test.ts
@@ -127,6 +127,15 @@
 			endTasks(owner, 'a');
 		},
 	},
+	screening: {
+		prepare() {
+			const owner = createTestOwner({workers: [{}, {}]});
+			owner.scheduler.givenUpAt.set('planner', owner.state.now);
+			owner.submit('a', {count: 2});
+			owner.tick(50);
+			return owner;
+		},
+	},
 	tickets: {
 		prepare() {
 			const owner = createTestOwner();
--- a/packages/core/src/jobs/placement/explain-wait.ts
+++ b/packages/core/src/jobs/placement/explain-wait.ts
@@ -10,8 +10,10 @@
 import {getTotalResources} from './get-total-resources.js';
 import {isEligible} from './is-eligible.js';
 import {isHeldBack} from './is-held-back.js';
+import {isOnTrialAlready} from './is-on-trial-already.js';
 import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {mayStillRun} from './may-still-run.js';
+import {needsTrial} from './needs-trial.js';
 import {satisfiesAntiAffinity} from './satisfies-anti-affinity.js';
 import {type Wait} from './wait-reason.js';
 
@@ -59,6 +61,10 @@
 		return {reason: 'no-worker', details: describeAbsentWorkers(scheduler, service, now)};
 	}
 
+	if (scheduler.screenings.has(service) && needsTrial(step)) {
+		return {reason: 'screening', details: {onTrial: isOnTrialAlready(step), trialWorkers: scheduler.screenings.get(service)?.trialWorkers.map(({id}) => id).slice(0, 4)}};
+	}
+
 	if (step.tickets?.granted.size === 0) {
 		const {requestPending, requestedWorkers, refused, fruitlessRequests} = step.tickets;
 		return {
--- /dev/null
+++ b/packages/core/src/jobs/placement/is-on-trial-already.ts
@@ -0,0 +1,13 @@
+import {type StepState} from '../state/scheduler.js';
+
+/**
+ * Tells whether a task of a step is running or being started.
+ *
+ * @param step - the step
+ * @returns true if one is
+ * @example
+ * isOnTrialAlready(step);
+ */
+export function isOnTrialAlready({groups}: StepState): boolean {
+	return groups.some(({done, tasks}) => !done && tasks.some(({state}) => state !== 'unassigned'));
+}
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -17,9 +17,15 @@
 import {type OrderBudget, placeIsolatedGroups} from './place-isolated-groups.js';
 import {hasReadyTasks} from './has-ready-tasks.js';
 import {isHeldBack} from './is-held-back.js';
-import {placeGroup} from './place-group.js';
+import {type Placement, placeGroup} from './place-group.js';
 import {type RackForecasts} from './rack-forecast.js';
 import {updateDataWait} from './update-data-wait.js';
+import {findObtainableWorkers} from './find-obtainable-workers.js';
+import {hasRoomForTrial} from './has-room-for-trial.js';
+import {isOnTrialAlready} from './is-on-trial-already.js';
+import {needsTrial} from './needs-trial.js';
+import {planScreening} from './plan-screening.js';
+import {type Screening} from './screening.js';
 import {listSchedulableWorkers} from './list-schedulable-workers.js';
 import {listUnreconciledServices} from './list-unreconciled-services.js';
 import {mayStartUnderLimit} from './may-start-under-limit.js';
@@ -31,10 +37,12 @@
 
 type Unplaced = {readonly group: TaskGroup; readonly step: StepState};
 
-type RoundOptions = {workers: readonly Worker[]; budget: OrderBudget; forecasts: RackForecasts};
+type RoundOptions = {workers: readonly Worker[]; budget: OrderBudget; forecasts: RackForecasts; screening: Screening | undefined};
 
 const noUnreconciledUsage = new Map<string, Resources>();
 
+const noScreenings = new Map<string, Screening>();
+
 /**
  * Places the tasks of ready steps on workers with free capacity, in the order of `orderJobs`, and starts them.
  *
@@ -50,6 +58,7 @@
 	const budget = {orders: scheduler.orderWindow.size - countOpenOrders(scheduler)};
 	if (waiting.length === 0 || budget.orders <= 0) {
 		scheduler.contention.clear();
+		scheduler.screenings = noScreenings;
 		return;
 	}
 
@@ -59,6 +68,8 @@
 	const ordered = orderJobs(scheduler, waiting, now);
 	logOrder(context);
 	placeIsolatedGroups(context, {jobs: ordered, schedulable, budget});
+	const screenings = planScreening(scheduler, {jobs: ordered, schedulable, now});
+	scheduler.screenings = screenings;
 	for (const job of ordered) {
 		if (budget.orders <= 0) {
 			return;
@@ -70,7 +81,9 @@
 			continue;
 		}
 
-		for (const {group, step} of placeJob(context, job, {workers, budget, forecasts})) {
+		for (const {group, step} of placeJob(context, job, {
+			workers, budget, forecasts, screening: screenings.get(service),
+		})) {
 			recordFailure(scheduler, failures, {
 				group, step, service, workers, now,
 			});
@@ -121,7 +134,7 @@
 
 /** Places as many tasks of a step as possible. Returns the first group that does not fit, and whether groups wait for capacity near their data. */
 function placeStep(context: ReducerContext, step: StepState, options: RoundOptions): {first: TaskGroup | undefined; waiting: boolean} {
-	const {workers, budget, forecasts} = options;
+	const {budget} = options;
 	const placed: Task[] = [];
 	let first: TaskGroup | undefined;
 	let waiting = false;
@@ -129,6 +142,11 @@
 		return {first, waiting};
 	}
 
+	const isTried = options.screening !== undefined && needsTrial(step);
+	if (isTried && isOnTrialAlready(step)) {
+		return {first, waiting};
+	}
+
 	for (const group of step.groups) {
 		if (budget.orders <= 0) {
 			break;
@@ -138,7 +156,7 @@
 			continue;
 		}
 
-		const placement = placeGroup(context, group, {step, workers, forecasts});
+		const placement = placeScreened(context, group, {...options, step, isTried});
 		if (placement === 'unplaced') {
 			first = group;
 			if (step.tickets !== undefined) {
@@ -155,12 +173,32 @@
 
 		placed.push(...group.tasks);
 		budget.orders -= group.tasks.length;
+		if (isTried) {
+			break;
+		}
 	}
 
 	logPlacement(context, step, placed);
 	return {first, waiting};
 }
 
+/** Places a group; while tasks of its service crash their workers, apart from tasks that have not shown yet that they do not. */
+function placeScreened(context: ReducerContext, group: TaskGroup, options: RoundOptions & {step: StepState; isTried: boolean}): Placement {
+	const {step, workers, forecasts, screening, isTried} = options;
+	if (screening === undefined || group.definition.longRunning) {
+		return placeGroup(context, group, {step, workers, forecasts});
+	}
+
+	const trialWorkers = workers.filter(worker => screening.trialWorkers.includes(worker));
+	if (isTried && findObtainableWorkers(group, step, trialWorkers) !== undefined) {
+		return placeGroup(context, group, {step, workers: trialWorkers.filter(worker => hasRoomForTrial(worker)), forecasts});
+	}
+
+	const others = workers.filter(worker => !screening.trialWorkers.includes(worker));
+	const placement = placeGroup(context, group, {step, workers: others, forecasts});
+	return placement === 'unplaced' ? placeGroup(context, group, {step, workers, forecasts}) : placement;
+}
+
 /** Logs one line for all tasks of a step that are placed at once. */
 function logPlacement({effects, now}: ReducerContext, stepState: StepState, placed: readonly Task[]): void {
 	const [first] = placed;
--- a/packages/core/src/jobs/placement/wait-reason.ts
+++ b/packages/core/src/jobs/placement/wait-reason.ts
@@ -6,6 +6,7 @@
 	limit: 'usage of the organisation falls, or its upper limit rises',
 	isolation: 'a worker is free to run the task without others',
 	'step-in-isolation': 'the suspected task of the same step is done',
+	screening: 'another task of the step has run for a time, or a worker for trials has room',
 	tickets: 'a worker gets a ticket',
 	unsuitable: 'a worker with the label, the size or few enough tasks of the step arrives',
 	data: 'a worker near the data has room',
--- a/packages/core/src/jobs/runs/assign-task.ts
+++ b/packages/core/src/jobs/runs/assign-task.ts
@@ -24,6 +24,7 @@
 	task.worker = worker;
 	task.run = run;
 	task.state = state;
+	task.seenRunningAt = 0;
 	job.changes++;
 	task.measurement = undefined;
 	task.group.run = Math.max(task.group.run, run);
--- a/packages/core/src/jobs/runs/handle-report.ts
+++ b/packages/core/src/jobs/runs/handle-report.ts
@@ -166,6 +166,7 @@
 	}
 
 	group.job.started = true;
+	task.seenRunningAt = context.now;
 	if (running.percent !== task.percent) {
 		task.percent = running.percent;
 		task.progressedAt = context.now;
--- a/packages/core/src/jobs/runs/request-reports.ts
+++ b/packages/core/src/jobs/runs/request-reports.ts
@@ -2,7 +2,9 @@
 	clockReadingLifetimeMs, openOrderWaitMs, reportLifetimeMs, reportWaitMs, uncommittedReportDelayMs,
 } from '../state/constants.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {type Worker} from '../state/scheduler.js';
+import {type Scheduler, type Worker} from '../state/scheduler.js';
+import {provenMs} from '../crashes/proven-ms.js';
+import {countTrials} from '../placement/count-trials.js';
 import {extendLease} from './extend-lease.js';
 
 /**
@@ -43,11 +45,16 @@
 			// The lease of an unresponsive worker is not renewed, so that its tasks can start elsewhere once the last one has expired.
 			leaseUntilMs: worker.acknowledgedOwner && !worker.unresponsive ? extendLease(worker, now, scheduler.leaseMs) : undefined,
 			storedEnd: worker.pendingAcknowledgement,
-			waitMs: worker.acknowledgedOwner && !worker.unresponsive && !hasUncommittedEnds ? reportWaitMs : 0,
+			waitMs: worker.acknowledgedOwner && !worker.unresponsive && !hasUncommittedEnds ? chooseWait(scheduler, worker) : 0,
 		});
 	}
 }
 
+/** While tasks of a service crash their workers, other tasks wait until those on trial have run for a time. */
+function chooseWait({screenings}: Scheduler, worker: Worker): number {
+	return screenings.has(worker.listing?.service ?? '') && countTrials(worker) > 0 ? provenMs : reportWaitMs;
+}
+
 /** Tells whether a worker has no tasks and no news: all that it has reported is stored. */
 function isSettled(worker: Worker, now: number): boolean {
 	return now - worker.clockReadAt < clockReadingLifetimeMs
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -127,6 +127,9 @@
 /** Time for which a suspected task keeps its worker to itself, for each crash under it; tasks that crash their workers mostly do so at their start. */
 export const isolationMs = 2000;
 
+/** Time for which a crash is kept, so that a task that is given up can explain it, in milliseconds. */
+export const crashRetentionMs = 60_000;
+
 /** Crashes under a task from which it is suspected although other runs were started on these workers later. */
 export const suspicionLimit = 3;
 
--- a/packages/core/src/jobs/state/create-task.ts
+++ b/packages/core/src/jobs/state/create-task.ts
@@ -22,6 +22,7 @@
 		openStartOrders: 0,
 		expectedInReportsFrom: 0,
 		lastOrderAt: 0,
+		seenRunningAt: 0,
 		percent: 0,
 		progressedAt: 0,
 		speedLimitPercent: 100,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -9,6 +9,7 @@
 import {type OrderWindow} from '../runs/order-window.js';
 import {type JobOutlook} from '../order/job-outlook.js';
 import {type DataWait} from '../placement/data-wait.js';
+import {type Screening} from '../placement/screening.js';
 import {type ServiceShares} from '../order/service-shares.js';
 import {type ViewState} from '../views/view-state.js';
 import {type Configuration, type Resources} from './configuration-schema.js';
@@ -59,6 +60,9 @@
 /** Runs of a worker whose lease expired, until it is known whether the worker crashed or was only unreachable. */
 export type UnexplainedLoss = {readonly lostAt: number; readonly runs: readonly LostRun[]};
 
+/** Crash of a worker with the runs that it had, until one of them explains it. */
+export type Crash = {readonly at: number; readonly runs: ReadonlyArray<{readonly group: TaskGroup; readonly run: number}>};
+
 /** State of a worker as the scheduler knows it. */
 export type Worker = {
 	readonly id: string;
@@ -145,6 +149,8 @@
 	/** Reports requested from this local time on show the task; if one does not, the task has ended. */
 	expectedInReportsFrom: number;
 	lastOrderAt: number;
+	/** Local time of the last report that showed the run; 0 before the first. An answer to another call may come from a later incarnation. */
+	seenRunningAt: number;
 	/** Progress of the task; for a long-running task, progress of its start-up, 100 once it has started up. */
 	percent: number;
 	progressedAt: number;
@@ -319,6 +325,10 @@
 	/** Jobs removed from memory, with the local time of their removal; an older read of the store may still contain them. */
 	readonly endedJobs: Map<string, number>;
 	readonly tasks: Map<string, Task>;
+	/** Crashes of the last seconds that no task given up explains, the oldest first. */
+	readonly crashes: Crash[];
+	/** Local time at which a task of each service was last given up. */
+	readonly givenUpAt: Map<string, number>;
 	readonly orderWindow: OrderWindow;
 	readonly usedByOrganisation: Map<string, Resources>;
 	/** Resources that tasks of a former owner may use on workers that have not answered yet, by organisation. */
@@ -335,6 +345,8 @@
 	orderNumber: number;
 	/** Waiting jobs as the last decision sorted them, before shares. */
 	previousOrder: readonly JobOutlook[];
+	/** Services whose tasks crash their workers, with the workers on which tasks are tried, as of the last placement. */
+	screenings: ReadonlyMap<string, Screening>;
 	/** Waiting jobs in the order of placement, as of the last decision. */
 	placementOrder: readonly ActiveJob[];
 	/** Local time from which the next decision on the order may be logged. */
