Try a failing worker after 2 s while its service has no other

Cause: a worker that fails several times is avoided for up to 8 s, 6 s after a stall, so that other workers get its tasks; when there is no other worker, nothing does.

While all workers of a service are avoided, each is tried 2 s after its last failure, with one task at a time as after any back-off.

--- a/packages/core/src/jobs/placement/list-schedulable-workers.test.ts
+++ b/packages/core/src/jobs/placement/list-schedulable-workers.test.ts
@@ -4,7 +4,9 @@
 import {createScheduler} from '../state/create-scheduler.js';
 import {type SchedulerEvent} from '../state/event.js';
 import {reduceScheduler} from '../state/reduce-scheduler.js';
-import {type Task} from '../state/scheduler.js';
+import {createTestOwner} from '../create-test-owner.js';
+import {avoidWorker} from '../runs/avoid-worker.js';
+import {type Task, type Worker} from '../state/scheduler.js';
 import {listSchedulableWorkers} from './list-schedulable-workers.js';
 
 const configuration = configurationSchema.parse({
@@ -73,3 +75,25 @@
 		});
 	}
 });
+
+describe('a worker that fails while its service has no other', () => {
+	for (const {name, workers, isTried} of [
+		{name: 'one worker', workers: 1, isTried: true},
+		{name: 'three workers that all fail', workers: 3, isTried: true},
+		{name: 'another worker that does not fail', workers: 2, isTried: false},
+	]) {
+		it(`guards against a service that starts nothing during a long back-off: ${name}`, () => {
+			const owner = createTestOwner({workers: Array.from({length: workers}, () => ({}))});
+			const failing = [...owner.scheduler.workers.values()].filter(({id}) => isTried || id === 'w1');
+			for (const worker of failing) {
+				avoidWorker(worker, 8000, owner.state.now);
+			}
+
+			const list = (): boolean => listSchedulableWorkers(owner.scheduler, owner.state.now).get('planner')?.includes(failing[0]!) ?? false;
+			owner.advance(1900);
+			assert.equal(list(), false);
+			owner.advance(200);
+			assert.equal(list(), isTried);
+		});
+	}
+});
--- a/packages/core/src/jobs/placement/list-schedulable-workers.ts
+++ b/packages/core/src/jobs/placement/list-schedulable-workers.ts
@@ -13,22 +13,38 @@
  */
 export function listSchedulableWorkers(scheduler: Scheduler, now: number): Map<string, Worker[]> {
 	const schedulable = new Map<string, Worker[]>();
+	const avoided: Worker[] = [];
 	for (const worker of scheduler.workers.values()) {
-		if (worker.listing === undefined || !isSchedulable(scheduler, worker, now)) {
+		if (!isSchedulable(scheduler, worker, now)) {
 			continue;
 		}
 
-		const workers = schedulable.get(worker.listing.service);
-		if (workers === undefined) {
-			schedulable.set(worker.listing.service, [worker]);
-		} else {
-			workers.push(worker);
+		if (now >= worker.backoffUntil) {
+			add(schedulable, worker);
+		} else if (now >= worker.retryDueAt) {
+			avoided.push(worker);
 		}
 	}
 
+	// Avoiding a worker is of no use to tasks that no other one can run.
+	for (const worker of avoided.filter(({listing}) => !schedulable.has(listing?.service ?? ''))) {
+		add(schedulable, worker);
+	}
+
 	return schedulable;
 }
 
+function add(schedulable: Map<string, Worker[]>, worker: Worker): void {
+	const service = worker.listing?.service ?? '';
+	const workers = schedulable.get(service);
+	if (workers === undefined) {
+		schedulable.set(service, [worker]);
+	} else {
+		workers.push(worker);
+	}
+}
+
+/** Tells whether a worker may get new tasks once its back-off is over. */
 function isSchedulable(scheduler: Scheduler, worker: Worker, now: number): boolean {
 	const {listing} = worker;
 	return listing !== undefined
@@ -41,7 +57,6 @@
 		&& !listing.leaving
 		&& !worker.cordoned
 		&& !worker.hasStrayRuns
-		&& now >= worker.backoffUntil
 		&& ![...worker.tasks].some(task => isIsolated(task, now))
 		&& !scheduler.withdrawnZones.has(listing.availabilityZone)
 		// After its back-off, a failing worker gets one task at a time.
--- a/packages/core/src/jobs/runs/handle-start-answer.ts
+++ b/packages/core/src/jobs/runs/handle-start-answer.ts
@@ -7,6 +7,7 @@
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Task, type Worker} from '../state/scheduler.js';
 import {adjustOrderWindow} from './adjust-order-window.js';
+import {avoidWorker} from './avoid-worker.js';
 import {endCalledIncarnation} from './end-called-incarnation.js';
 import {recordWorkerClock} from './record-worker-clock.js';
 import {releaseTask} from './release-task.js';
@@ -35,7 +36,7 @@
 	late: handleRefusal,
 	full(context, task, worker) {
 		// A full worker has not failed, so the back-off is shorter.
-		worker.backoffUntil = Math.max(worker.backoffUntil, context.now + (initialBackoffMs / 4));
+		avoidWorker(worker, Math.max(worker.backoffUntil - context.now, initialBackoffMs / 4), context.now);
 		handleRefusal(context, task);
 	},
 	ticket(context, task, worker) {
@@ -45,7 +46,7 @@
 	},
 	unhealthy(context, task, worker) {
 		worker.consecutiveFailures = Math.max(worker.consecutiveFailures + 1, failureThreshold);
-		worker.backoffUntil = context.now + initialBackoffMs;
+		avoidWorker(worker, initialBackoffMs, context.now);
 		handleRefusal(context, task);
 	},
 	'other-worker'(context, task, worker) {
@@ -54,7 +55,7 @@
 		}
 	},
 	invalid(context, task, worker) {
-		worker.backoffUntil = context.now + initialBackoffMs;
+		avoidWorker(worker, initialBackoffMs, context.now);
 		handleRefusal(context, task);
 	},
 	withheld: handleUnsent,
--- a/packages/core/src/jobs/runs/handle-task-end.ts
+++ b/packages/core/src/jobs/runs/handle-task-end.ts
@@ -13,6 +13,7 @@
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Task, type TaskGroup, type Worker} from '../state/scheduler.js';
+import {avoidWorker} from './avoid-worker.js';
 import {releaseTask} from './release-task.js';
 import {stopTask} from './stop-task.js';
 
@@ -141,7 +142,7 @@
 	}
 
 	const pauseMs = Math.min(maximumBackoffMs, initialBackoffMs * (2 ** (worker.consecutiveFailures - failureThreshold)));
-	worker.backoffUntil = context.now + pauseMs;
+	avoidWorker(worker, pauseMs, context.now);
 	context.effects.push({
 		type: 'log', level: 'warn', event: 'worker-avoided', fields: {worker: worker.id, failuresInRow: worker.consecutiveFailures, pauseMs},
 	});
--- a/packages/core/src/jobs/runs/supervise-workers.ts
+++ b/packages/core/src/jobs/runs/supervise-workers.ts
@@ -7,6 +7,7 @@
 import {type ReducerContext} from '../state/reducer-context.js';
 import {relocateTask} from '../placement/relocate-task.js';
 import {type Task, type Worker} from '../state/scheduler.js';
+import {avoidWorker} from './avoid-worker.js';
 import {releaseLostTasks} from './release-lost-tasks.js';
 import {findLeaseExpiry} from './find-lease-expiry.js';
 import {stopTask} from './stop-task.js';
@@ -87,7 +88,7 @@
 		});
 		// A stall reaches `failureThreshold` at once: after the back-off, the worker gets one task at a time until one is done.
 		worker.consecutiveFailures += 2;
-		worker.backoffUntil = now + (stallTimeoutMs * 2);
+		avoidWorker(worker, stallTimeoutMs * 2, now);
 		task.group.failedWorkers.set(worker.id, now + failedWorkerAvoidanceMs);
 		stopTask(context, task);
 	}
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -64,6 +64,9 @@
 /** Maximum back-off of a failing worker. */
 export const maximumBackoffMs = 8000;
 
+/** Back-off of a failing worker while its service has no other worker; what can run is to start within 3 s. */
+export const soleWorkerBackoffMs = 2000;
+
 /** Time without progress after which a task counts as stalled; reports arrive at least once a second. */
 export const stallTimeoutMs = 3000;
 
--- a/packages/core/src/jobs/state/create-worker.ts
+++ b/packages/core/src/jobs/state/create-worker.ts
@@ -40,6 +40,7 @@
 		contestedEnds: new Map(),
 		consecutiveFailures: 0,
 		backoffUntil: 0,
+		retryDueAt: 0,
 		unresponsive: false,
 		idleSince: now,
 		hasStrayRuns: false,
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -118,6 +118,8 @@
 	readonly contestedEnds: Map<number, ReadonlyArray<{readonly task: Task; readonly run: number}>>;
 	consecutiveFailures: number;
 	backoffUntil: number;
+	/** Local time from which the worker is tried before its back-off is over if its service has no other worker. */
+	retryDueAt: number;
 	/** The last call was not answered; the worker gets no new tasks until it answers. */
 	unresponsive: boolean;
 	/** Local time since which the worker has had no tasks. */
