Move no instances to a pool for tasks that more room does not help

Cause: waiting tasks counted as demand whether or not another instance could help them. Tasks that the upper limit of their organisation keeps waiting, and long-running tasks that wait for a label or a size that no instance has, drew one instance after another, and their pool returned none. Class: what waits for something absent reserves what it cannot use.

Waiting tasks now count up to the limit of their organisation, arriving ones likewise, and a long-running task counts as unmet only while an instance outside its pool could run it; the list of instances is read with labels.

--- a/packages/core/src/jobs/pools/measure-pools.ts
+++ b/packages/core/src/jobs/pools/measure-pools.ts
@@ -1,11 +1,21 @@
 import {findQueuePolicy} from '../state/find-queue-policy.js';
+import {type Resources} from '../state/configuration-schema.js';
+import {type Step} from '../state/job-schema.js';
+import {isUnassigned} from '../state/is-unassigned.js';
+import {isWithinLimit} from '../order/is-within-limit.js';
+import {addResources} from '../placement/add-resources.js';
+import {getTotalResources} from '../placement/get-total-resources.js';
+import {mayStartUnderLimit} from '../placement/may-start-under-limit.js';
 import {isStepReady} from '../state/is-step-ready.js';
 import {measureDominantResource} from '../placement/measure-dominant-resource.js';
 import {getReservedResources} from '../placement/get-reserved-resources.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {classifyLateness} from '../order/classify-lateness.js';
 import {estimateDuration} from '../estimates/estimate-duration.js';
-import {type PoolLoad, type StepState, type Worker} from '../state/scheduler.js';
+import {
+	type ActiveJob, type PoolLoad, type Scheduler, type StepState, type TaskGroup, type Worker,
+} from '../state/scheduler.js';
+import {isSuitableInstance} from './is-suitable-instance.js';
 import {measureArrivingDemand} from './measure-arriving-demand.js';
 import {measureReserves} from './measure-reserves.js';
 import {observeBurst} from './observe-burst.js';
@@ -27,8 +37,13 @@
 /** Lateness class from which a job does not count towards the backlog. */
 const ignoredLateness = 2;
 
+const nothing: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+
 const noDemand = {measuredAt: 0, smoothed: 0, forecast: 0};
 
+/** Resources that the waiting tasks counted so far would use, by organisation. */
+type Claims = Map<string, Resources>;
+
 /** Demand in thousandths of a core and number of recently arrived jobs, by service. */
 type PoolDemands = Map<string, {demand: number; count: number}>;
 
@@ -101,6 +116,8 @@
 
 function addJobs(context: ReducerContext, pools: ReadonlyMap<string, PoolLoad>, demands: PoolDemands): void {
 	const {scheduler, now} = context;
+	const claims: Claims = new Map();
+	const arriving = new Map<string, number>();
 	for (const job of scheduler.jobs.values()) {
 		if (job.cancelled || job.end !== undefined) {
 			continue;
@@ -108,7 +125,7 @@
 
 		const {service} = findQueuePolicy(scheduler, job);
 		const pool = pools.get(service);
-		addDemand(demands, service, {demand: measureArrivingDemand(scheduler, job, now), count: now - job.acceptedAt < arrivalWindowMs ? 1 : 0});
+		addDemand(demands, service, {demand: limitDemand(scheduler, job, {demand: measureArrivingDemand(scheduler, job, now), arriving}), count: now - job.acceptedAt < arrivalWindowMs ? 1 : 0});
 		if (pool === undefined) {
 			continue;
 		}
@@ -121,7 +138,7 @@
 		if (lateness < ignoredLateness) {
 			const backlogBefore = pool.backlog;
 			for (const steps of job.occurrences.values()) {
-				addBacklog(context, pool, steps);
+				addBacklog(context, pool, {steps, claims});
 			}
 
 			pool.backlogOfLateJobs += lateness > 0 ? pool.backlog - backlogBefore : 0;
@@ -154,15 +171,16 @@
 	return total;
 }
 
-function addBacklog({scheduler, now}: ReducerContext, pool: PoolLoad, steps: readonly StepState[]): void {
+function addBacklog({scheduler, now}: ReducerContext, pool: PoolLoad, {steps, claims}: {steps: readonly StepState[]; claims: Claims}): void {
 	const capacity = pool.workers[0]?.listing?.capacity;
 	for (const step of steps) {
 		if (!isStepReady(steps, step)) {
 			continue;
 		}
 
-		for (const {done, definition, job, tasks, unassignedSince} of step.groups) {
-			if (done || tasks.some(({state}) => state !== 'unassigned')) {
+		for (const group of step.groups) {
+			const {definition, job, tasks, unassignedSince} = group;
+			if (!isUnassigned(group) || !claim(scheduler, group, claims)) {
 				continue;
 			}
 
@@ -170,7 +188,38 @@
 			const fraction = definition.longRunning ? 1 : Math.min(1, estimateDuration(scheduler, job, step.step) / backlogTargetMs);
 			const need = getReservedResources(definition);
 			pool.backlog += tasks.length * fraction * (capacity === undefined ? need.cpuMillis : measureDominantResource(need, capacity));
-			pool.unmetLongRunningNeeds += definition.longRunning && now - unassignedSince > starvationMs ? 1 : 0;
+			pool.unmetLongRunningNeeds += definition.longRunning && now - unassignedSince > starvationMs && canBeMet(scheduler, pool, definition) ? 1 : 0;
 		}
 	}
 }
+
+/** Counts a waiting group against the upper limit of its organisation, unless it would not start there: more instances do not help what the limit keeps waiting. */
+function claim(scheduler: Scheduler, group: TaskGroup, claims: Claims): boolean {
+	const {organisation} = group.job.definition;
+	const claimed = addResources(claims.get(organisation) ?? nothing, getTotalResources(group));
+	const isCounted = isWithinLimit(scheduler, group.job, claimed) || (!claims.has(organisation) && mayStartUnderLimit(scheduler, group, scheduler.tickedAt));
+	if (isCounted) {
+		claims.set(organisation, claimed);
+	}
+
+	return isCounted;
+}
+
+/** Bounds the demand of the jobs of an organisation that have just arrived by its upper limit, in thousandths of a core. */
+function limitDemand({configuration}: Scheduler, {definition: {organisation}}: ActiveJob, {demand, arriving}: {demand: number; arriving: Map<string, number>}): number {
+	const limit = configuration.organisations.find(({name}) => name === organisation)?.limit.cpuMillis ?? 0;
+	const before = arriving.get(organisation) ?? 0;
+	arriving.set(organisation, before + demand);
+	return limit === 0 ? demand : Math.max(0, Math.min(demand, limit - before));
+}
+
+/** Tells whether an instance that is not in the pool could run a long-running task: one that waits for a label or a size that none has would occupy one instance after another. */
+function canBeMet({instances}: Scheduler, pool: PoolLoad, definition: Step): boolean {
+	for (const instance of instances.values()) {
+		if ((instance.state === 'moving' || (instance.state === 'up' && instance.pool !== pool.name)) && isSuitableInstance(instance, definition)) {
+			return true;
+		}
+	}
+
+	return false;
+}
--- a/packages/core/src/jobs/state/instance.ts
+++ b/packages/core/src/jobs/state/instance.ts
@@ -9,6 +9,8 @@
 	readonly pool: string;
 	readonly state: InstanceState;
 	readonly availabilityZone: string;
+	/** Labels of the workers that run on it; undefined where the platform does not list them. */
+	readonly labels?: readonly string[] | undefined;
 	readonly capacity: Resources;
 	/** Worker that runs on the instance; empty while none does. */
 	readonly worker: string;
