Screen tasks only while more are suspected than can run alone

Ordinary crashes of workers also left suspects, and put every step of the service on trial for the seconds in which these ran in isolation.

--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -38,16 +38,18 @@
  *
  * @param context - the reducer context; its state is changed and effects are added
  * @param options - jobs with ready tasks in the order of their ranks, schedulable workers by service, from which the workers taken are removed, and the order budget
+ * @returns number of jobs with a suspected task that waits, by service
  * @example
  * placeIsolatedGroups(context, {jobs, schedulable, budget});
  */
-export function placeIsolatedGroups(context: ReducerContext, options: {jobs: readonly ActiveJob[]; schedulable: ReadonlyMap<string, Worker[]>; budget: OrderBudget}): void {
+export function placeIsolatedGroups(context: ReducerContext, options: {jobs: readonly ActiveJob[]; schedulable: ReadonlyMap<string, Worker[]>; budget: OrderBudget}): Map<string, number> {
 	const {scheduler, now} = context;
 	const {jobs, schedulable, budget} = options;
 	const suspects = jobs.flatMap(job => listSuspects(job, now))
 		.toSorted((left, right) => left.group.crashedRuns.size - right.group.crashedRuns.size);
+	const suspectedJobs = countJobs(scheduler, suspects);
 	if (suspects.length === 0) {
-		return;
+		return suspectedJobs;
 	}
 
 	const {jobsInIsolation, countByService} = countIsolatedTasks(scheduler, now);
@@ -81,6 +83,18 @@
 		jobsInIsolation.add(group.job);
 		budget.orders -= placement === 'started' ? 1 : 0;
 	}
+
+	return suspectedJobs;
+}
+
+function countJobs(scheduler: Scheduler, suspects: readonly Suspect[]): Map<string, number> {
+	const counts = new Map<string, number>();
+	for (const job of new Set(suspects.map(({group}) => group.job))) {
+		const {service} = findQueuePolicy(scheduler, job);
+		counts.set(service, (counts.get(service) ?? 0) + 1);
+	}
+
+	return counts;
 }
 
 /** Lists the first suspected group of each step: one that waits for a label, for example, does not keep those of other steps waiting. */
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -67,8 +67,8 @@
 	const failures: RoundFailures = {byService: new Map(), byOrganisation: new Map()};
 	const ordered = orderJobs(scheduler, waiting, now);
 	logOrder(context);
-	placeIsolatedGroups(context, {jobs: ordered, schedulable, budget});
-	const screenings = planScreening(scheduler, {jobs: ordered, schedulable, now});
+	const suspectedJobs = placeIsolatedGroups(context, {jobs: ordered, schedulable, budget});
+	const screenings = planScreening(scheduler, {suspectedJobs, schedulable, now});
 	scheduler.screenings = screenings;
 	for (const job of ordered) {
 		if (budget.orders <= 0) {
