Count no wait for a trial as a service without room

Found in reading: a step whose task could not be tried yet counted as a failed placement. After twelve of them, the other jobs of the service were skipped while more than half of it was in use, also those with tasks that had shown that they crash nothing.

--- a/packages/core/src/jobs/placement/explain-wait.ts
+++ b/packages/core/src/jobs/placement/explain-wait.ts
@@ -10,7 +10,7 @@
 import {getTotalResources} from './get-total-resources.js';
 import {isEligible} from './is-eligible.js';
 import {isHeldBack} from './is-held-back.js';
-import {isOnTrialAlready} from './is-on-trial-already.js';
+import {hasAssignedTask} from './has-assigned-task.js';
 import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {mayStillRun} from './may-still-run.js';
 import {needsTrial} from './needs-trial.js';
@@ -62,7 +62,7 @@
 	}
 
 	if (scheduler.screenings.has(service) && needsTrial(step)) {
-		return {reason: 'screening', details: {onTrial: isOnTrialAlready(step), trialWorkers: scheduler.screenings.get(service)?.trialWorkers.map(({id}) => id).slice(0, 4)}};
+		return {reason: 'screening', details: {onTrial: hasAssignedTask(step), trialWorkers: scheduler.screenings.get(service)?.trialWorkers.map(({id}) => id).slice(0, 4)}};
 	}
 
 	if (step.tickets?.granted.size === 0) {
--- a/packages/core/src/jobs/placement/is-on-trial-already.ts
+++ b/packages/core/src/jobs/placement/has-assigned-task.ts
@@ -6,8 +6,8 @@
  * @param step - the step
  * @returns true if one is
  * @example
- * isOnTrialAlready(step);
+ * hasAssignedTask(step);
  */
-export function isOnTrialAlready({groups}: StepState): boolean {
+export function hasAssignedTask({groups}: StepState): boolean {
 	return groups.some(({done, tasks}) => !done && tasks.some(({state}) => state !== 'unassigned'));
 }
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -22,7 +22,7 @@
 import {updateDataWait} from './update-data-wait.js';
 import {findObtainableWorkers} from './find-obtainable-workers.js';
 import {hasRoomForTrial} from './has-room-for-trial.js';
-import {isOnTrialAlready} from './is-on-trial-already.js';
+import {hasAssignedTask} from './has-assigned-task.js';
 import {needsTrial} from './needs-trial.js';
 import {planScreening} from './plan-screening.js';
 import {type Screening} from './screening.js';
@@ -143,7 +143,7 @@
 	}
 
 	const isTried = options.screening !== undefined && needsTrial(step);
-	if (isTried && isOnTrialAlready(step)) {
+	if (isTried && hasAssignedTask(step)) {
 		return {first, waiting};
 	}
 
@@ -158,7 +158,8 @@
 
 		const placement = placeScreened(context, group, {...options, step, isTried});
 		if (placement === 'unplaced') {
-			first = group;
+			// A wait for a place on a trial worker must not count as a service without room.
+			first = isTried ? undefined : group;
 			if (step.tickets !== undefined) {
 				step.tickets.isInsufficient = mayStartUnderLimit(context.scheduler, group, context.now);
 			}
