Exceed no upper limit beside open start orders

Cause: what is ordered and not yet confirmed counts as used, but may start later than what is ordered next. A task now exceeds the limit only while no start order of its organisation is open.

--- a/packages/core/src/jobs/placement/may-start-under-limit.test.ts
+++ b/packages/core/src/jobs/placement/may-start-under-limit.test.ts
@@ -66,4 +66,19 @@
 		owner.advance(100);
 		assert.equal(owner.listWorkersOf('a').length, 1);
 	});
+
+	it('guards against an open order that is carried out after the task above the limit, as a second one above it', () => {
+		const owner = createTestOwner({workers: [{}, {}, {}, {}], answersStarts: false});
+		owner.submit('b', {cpuMillis: 4000}, south);
+		owner.tick(50);
+		owner.submit('a', {cpuMillis: 8000}, south);
+		for (let count = 0; count < 60; count++) {
+			owner.tick(50);
+		}
+
+		assert.equal(owner.listWorkersOf('a').length, 0);
+		owner.answerStart({task: 'b.0.0.0', worker: owner.listWorkersOf('b')[0] ?? ''});
+		owner.tick(50);
+		assert.equal(owner.listWorkersOf('a').length, 1);
+	});
 });
--- a/packages/core/src/jobs/placement/may-start-under-limit.ts
+++ b/packages/core/src/jobs/placement/may-start-under-limit.ts
@@ -21,7 +21,20 @@
 export function mayStartUnderLimit(scheduler: Scheduler, group: TaskGroup, now: number): boolean {
 	const {job, tasks} = group;
 	return isWithinLimit(scheduler, job, getTotalResources(group))
-		|| (tasks.length === 1 && now - findReadySince(group) > limitWaitMs && isFarBelowLimit(scheduler, job.definition.organisation));
+		|| (tasks.length === 1 && now - findReadySince(group) > limitWaitMs && isFarBelowLimit(scheduler, job.definition.organisation) && !hasOpenStarts(scheduler, job.definition.organisation));
+}
+
+/** Tells whether start orders of an organisation are open. One that is carried out after the task that exceeds the limit would be the second task above it. */
+function hasOpenStarts({workers}: Scheduler, organisation: string): boolean {
+	for (const {tasks} of workers.values()) {
+		for (const {state, openStartOrders, group} of tasks) {
+			if ((state === 'starting' || openStartOrders > 0) && group.job.definition.organisation === organisation) {
+				return true;
+			}
+		}
+	}
+
+	return false;
 }
 
 function findReadySince({job, occurrence, step, unassignedSince}: TaskGroup): number {
