Suspect no tasks whose start orders a lost worker did not answer

Orders that were on their way when a worker ended made suspects of tasks that had mostly not begun there, also after ordinary crashes; each of them then ran alone and held back its step.

--- a/packages/core/src/jobs/crashes/describe-lost-runs.ts
+++ b/packages/core/src/jobs/crashes/describe-lost-runs.ts
@@ -26,7 +26,7 @@
 			ageMs: now - lastOrderAt,
 			confirmed: !isUnanswered,
 			// Tasks that a former owner started have no time of their start.
-			recent: (state === 'running' || isUnanswered) && lastOrderAt > 0 && lastOrderAt >= latestStartAt - recentStartMs,
+			recent: state === 'running' && lastOrderAt > 0 && lastOrderAt >= latestStartAt - recentStartMs,
 			isolated: group.isolation?.run === run && !hasLaterStart(tasks, task),
 		};
 	});
