Give soaks that start at the same time ports of their own

Cause: each soak searches nine ports from its process id times three, so soaks with neighbouring ids search overlapping ranges, and two of them find a port free before either listens. The ranges are now as far apart as they are long, and never reach beyond the last port.

--- a/packages/soak/src/find-free-ports.ts
+++ b/packages/soak/src/find-free-ports.ts
@@ -17,7 +17,7 @@
 export async function findFreePorts(count: number, options: {offset?: number} = {}): Promise<number[]> {
 	const {offset = 0} = options;
 	const ports: number[] = [];
-	for (let port = firstPort + (offset % (lastPort - firstPort)); ports.length < count; port++) {
+	for (let port = firstPort + (offset % (lastPort - firstPort - (2 * count))); ports.length < count; port++) {
 		if (port > lastPort) {
 			throw new Error(`Fewer than ${count} ports up to ${lastPort} are free`);
 		}
--- a/packages/soak/src/soak-fleet.ts
+++ b/packages/soak/src/soak-fleet.ts
@@ -74,7 +74,8 @@
 
 		await this.changeConfiguration();
 		await Promise.all(workers.map(async worker => this.startWorker(worker)));
-		const ports = await findFreePorts(processes.length * portsPerProcess, {offset: process.pid * portsPerProcess});
+		const portCount = processes.length * portsPerProcess;
+		const ports = await findFreePorts(portCount, {offset: process.pid * portCount});
 		await Promise.all(processes.map(async (name, position) => this.#startProgram(name, ports.slice(position * portsPerProcess, (position + 1) * portsPerProcess))));
 	}
 
