--- a/packages/core/src/jobs/pools/log-pool-loads.ts
+++ b/packages/core/src/jobs/pools/log-pool-loads.ts
@@ -1,8 +1,7 @@
 import {addResources} from '../placement/add-resources.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {isStepReady} from '../state/is-step-ready.js';
-import {getReservedResources} from '../placement/get-reserved-resources.js';
-import {isWithinLimit} from '../order/is-within-limit.js';
+import {mayStartUnderLimit} from '../placement/may-start-under-limit.js';
 import {listSchedulableWorkers} from '../placement/list-schedulable-workers.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type ActiveJob} from '../state/scheduler.js';
@@ -37,10 +36,10 @@
 	}
 }
 
-function measureWaitingWork({scheduler}: ReducerContext): Map<string, WaitingWork> {
+function measureWaitingWork({scheduler, now}: ReducerContext): Map<string, WaitingWork> {
 	const waiting = new Map<string, WaitingWork>();
 	for (const job of scheduler.jobs.values()) {
-		const {tasks, isAtLimit} = measureWaitingTasks(scheduler, job);
+		const {tasks, isAtLimit} = measureWaitingTasks(scheduler, job, now);
 		if (tasks === 0) {
 			continue;
 		}
@@ -53,7 +52,7 @@
 	return waiting;
 }
 
-function measureWaitingTasks(scheduler: ReducerContext['scheduler'], job: ActiveJob): {tasks: number; isAtLimit: boolean} {
+function measureWaitingTasks(scheduler: ReducerContext['scheduler'], job: ActiveJob, now: number): {tasks: number; isAtLimit: boolean} {
 	let count = 0;
 	let isAtLimit = false;
 	if (job.cancelled || job.end !== undefined) {
@@ -66,10 +65,11 @@
 				continue;
 			}
 
-			for (const {done, tasks, definition} of step.groups) {
+			for (const group of step.groups) {
+				const {done, tasks} = group;
 				if (!done && tasks.every(({state}) => state === 'unassigned')) {
 					count += tasks.length;
-					isAtLimit ||= !isWithinLimit(scheduler, job, getReservedResources(definition));
+					isAtLimit ||= !mayStartUnderLimit(scheduler, group, now);
 				}
 			}
 		}
