Delay the late orders of case 7 on their way, and give processes ports of their own

Cause: an order that one life of a worker has taken can't be carried out by the next one; the ports of processes came from the range of outgoing connections, and one of 26 starts of the cases side by side found its port taken. What it does: a proxy in front of each worker of case 7 holds the orders for 6 s and then delivers them to whatever listens at the worker's address; ports are drawn from below that range.

--- a/review/7/case.js
+++ b/review/7/case.js
@@ -1,6 +1,6 @@
 /* eslint-disable camelcase -- the fields of the platform are in snake case */
 /**
- * An order to start a task gets no answer and is carried out late, and the worker crashes and is back in between.
+ * Orders to start tasks are delayed on their way, and the worker crashes and is back before they arrive.
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {playCase} from '../stand-ins-2/fleet.js';
@@ -11,12 +11,12 @@
 const downMs = 4500;
 const id = '00000000000000d1';
 
-await playCase(import.meta.dirname, {processes: 3, services: [{name: 'planner', workers: 8}]}, async fleet => {
+await playCase(import.meta.dirname, {processes: 3, services: [{name: 'planner', workers: 8}], hasProxies: true}, async fleet => {
 	await delay(3000);
 	const [worker] = fleet.workers;
 	if (fleet.isTroubled) {
-		worker.lateMs = lateMs;
-		worker.latePaths = ['/run-start'];
+		worker.proxy.delayMs = lateMs;
+		worker.proxy.delayedPaths = ['/run-start'];
 	}
 
 	const isAccepted = await fleet.submit('planner', id, {
@@ -32,7 +32,7 @@
 		await fleet.waitFor('a delayed order', () => fleet.events.some(({event}) => event === 'call-delayed'), 10_000);
 		await delay(200);
 		worker.crash();
-		worker.lateMs = 0;
+		worker.proxy.delayMs = 0;
 		await delay(downMs);
 		await worker.start();
 	}
--- a/review/stand-ins-2/fleet.js
+++ b/review/stand-ins-2/fleet.js
@@ -22,6 +22,8 @@
 const entryLifetimeMs = 3 * heartbeatMs;
 const answerReserveMs = 1500;
 const processStopMs = 2000;
+const lowestPort = 12_000;
+const highestPort = 30_000;
 
 const bounds = {
 	contact_ms: 3000, ack_ms: 4000, drain_ms: 2000, grace_s: 6, config_apply_ms: 2000, strict_revoke: true, revoke_ms: 5000, quota_overage: 0.1,
@@ -47,7 +49,7 @@
 	#expiry;
 
 	/** Starts the stand-ins and the processes. */
-	async start({processes = 3, services, advice}) {
+	async start({processes = 3, services, advice, hasProxies = false}) {
 		await this.store.start();
 		if (advice !== undefined) {
 			this.advice = new Advice({
@@ -89,7 +91,12 @@
 					continue;
 				}
 
-				await this.#addWorker(machine).start();
+				const worker = this.#addWorker(machine);
+				if (hasProxies) {
+					await worker.addProxy();
+				}
+
+				await worker.start();
 				await delay(heartbeatMs / 8);
 			}
 		}
@@ -123,6 +130,7 @@
 		await Promise.all(this.processes.map(async ({ended}) => ended));
 		for (const worker of this.workers) {
 			worker.crash('end of the test');
+			worker.proxy?.stop();
 		}
 
 		this.store.stop();
@@ -395,16 +403,28 @@
 	}
 }
 
+/** Finds free ports below those that the system gives to outgoing connections, so that nothing takes them before the process listens. */
 async function findFreePorts(count) {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server.address().port);
+	const ports = [];
+	while (ports.length < count) {
+		const port = lowestPort + Math.floor(Math.random() * (highestPort - lowestPort));
+		const server = createServer();
+		const isFree = await new Promise(resolve => {
+			server.once('error', () => {
+				resolve(false);
+			});
+			server.listen(port, '127.0.0.1', () => {
+				resolve(true);
+			});
 		});
-	})));
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
+		if (isFree) {
+			await new Promise(resolve => {
+				server.close(resolve);
+			});
+			ports.push(port);
+		}
+	}
+
 	return ports;
 }
 
--- a/review/stand-ins-2/worker.js
+++ b/review/stand-ins-2/worker.js
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
+import {Proxy} from './proxy.js';
 
 const startupMs = 300;
 const stopTakesMs = 100;
@@ -46,7 +47,17 @@
 	}
 
 	get address() {
-		return `127.0.0.1:${this.#port}`;
+		return this.proxy?.address ?? `127.0.0.1:${this.#port}`;
+	}
+
+	/** Puts a proxy in front of the worker, which is its address from then on. */
+	async addProxy() {
+		this.proxy = new Proxy({
+			getPort: () => this.#port, record: (event, fields) => {
+				this.#options.record(event, {worker: this.id, ...fields});
+			},
+		});
+		await this.proxy.start();
 	}
 
 	get clockMs() {
