Count tasks as away by the rule in cases 9 and 10

Cause: the check counted a task whose lease had just lapsed as away, though the rule counts it only after notice_ms; a case that is ended by a signal left its processes running. What it does: counts tasks as away that a stop or an upkeep has ended, or that have not been at work for notice_ms, and only tasks that were at work as ended; a case kills its processes when it is ended itself.

--- a/review/stand-ins-2/fleet.js
+++ b/review/stand-ins-2/fleet.js
@@ -15,7 +15,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Advice} from './advice.js';
 import {Store} from './store.js';
-import {Worker} from './worker.js';
+import {startupMs, Worker} from './worker.js';
 
 const heartbeatMs = 1500;
 /** Silence after which the entry of a worker is removed. */
@@ -140,6 +140,15 @@
 		rmSync(this.#folder, {recursive: true, force: true});
 	}
 
+	/** Kills the processes at once and removes the temporary folder. */
+	abort() {
+		for (const {child} of this.processes) {
+			child.kill('SIGKILL');
+		}
+
+		rmSync(this.#folder, {recursive: true, force: true});
+	}
+
 	record(event, fields = {}) {
 		const at = Date.now() - this.#startedAt;
 		this.events.push({at, event, ...fields});
@@ -220,33 +229,38 @@
 	}
 
 	/**
-	 * Finds the tasks of a step that an upkeep has ended at work while as many others of the step as may be missing were away,
-	 * by such an order or otherwise.
+	 * Finds the tasks of a step that an upkeep has ended at work while as many others of the step as may be missing were away:
+	 * ended by a stop or an upkeep, or not at work for `notice_ms`.
 	 */
 	findEndedTogether(mayMiss) {
-		const away = new Set();
+		const startedAt = new Map();
+		const away = new Map();
 		const violations = [];
-		for (const {at, event, worker, task, reason, lost = []} of this.events) {
+		const isAway = (other, at) => other.isOrdered || at - other.since >= bounds.notice_ms;
+		for (const {at, event, worker, task, how, reason, lost = []} of this.events) {
 			switch (event) {
 				case 'run-started': {
+					startedAt.set(task, at);
 					away.delete(task);
 
 					break;
 				}
 
 				case 'run-ended': {
-					away.add(task);
+					away.set(task, {since: at, isOrdered: how === 'stopped'});
 
 					break;
 				}
 
 				case 'worker-down': {
 					for (const [lostTask] of lost) {
-						if (reason === 'upkeep' && away.size >= mayMiss) {
-							violations.push(`AVAIL: the upkeep of ${worker} ends task ${lostTask} at work at ${at} ms, while ${away.size} others of its step are away (may_miss ${mayMiss})`);
+						const count = [...away.values()].filter(other => isAway(other, at)).length;
+						const isAtWork = at - startedAt.get(lostTask) > startupMs;
+						if (reason === 'upkeep' && isAtWork && count >= mayMiss) {
+							violations.push(`AVAIL: the upkeep of ${worker} ends task ${lostTask} at work at ${at} ms, while ${count} others of its step are away (may_miss ${mayMiss})`);
 						}
 
-						away.add(lostTask);
+						away.set(lostTask, {since: at, isOrdered: reason === 'upkeep'});
 					}
 
 					break;
@@ -471,14 +485,17 @@
 export async function playCase(folder, options, play) {
 	const fleet = new Fleet();
 	let code = 2;
+	const abort = () => {
+		fleet.abort();
+		process.exit(2); // eslint-disable-line unicorn/no-process-exit -- the processes that it started have been killed
+	};
+
+	process.once('SIGTERM', abort);
+	process.once('SIGINT', abort);
 	const limit = setTimeout(() => {
 		fleet.record('out of time');
 		fleet.writeRecord(path.join(folder, 'record.txt'));
-		for (const {child} of fleet.processes) {
-			child.kill('SIGKILL');
-		}
-
-		process.exit(2); // eslint-disable-line unicorn/no-process-exit -- the case runs for at most two minutes
+		abort();
 	}, 115_000);
 	try {
 		await fleet.start(options);
--- a/review/stand-ins-2/worker.js
+++ b/review/stand-ins-2/worker.js
@@ -7,7 +7,8 @@
 import {createServer} from 'node:http';
 import {Proxy} from './proxy.js';
 
-const startupMs = 300;
+/** Time until a task that lasts is at work. */
+export const startupMs = 300;
 const stopTakesMs = 100;
 const checkIntervalMs = 10;
 /** What the worker's clock reads at its start. */
