--- a/review/8/case.js
+++ b/review/8/case.js
@@ -6,6 +6,7 @@
 import {playCase} from '../stand-ins-2/fleet.js';
 
 const id = '00000000000000b1';
+const otherId = '00000000000000b0';
 const taskCount = 32;
 const crashAfterMs = 1000;
 const downMs = 500;
@@ -15,13 +16,21 @@
 const calmBeforeMs = 4000;
 const watchMs = 25_000;
 
-await playCase(import.meta.dirname, {processes: 3, services: [{name: 'planner', workers: 4}]}, async fleet => {
+await playCase(import.meta.dirname, {processes: 3, services: [{name: 'planner', workers: 8}]}, async fleet => {
+	// Another job that lasts fills four of the workers.
+	const isOtherAccepted = await fleet.submit('planner', otherId, {
+		spec: '{"lasts":true}', steps: [{
+			count: 4, cpu: 64_000, mem_mb: 1024, estimated_ms: 1000, long_running: true,
+		}],
+	});
+	await fleet.waitFor('the other tasks at work', () => Array.from({length: 4}, (_, index) => fleet.findRun(`${otherId}.0.0.${index}`)).every(run => run !== undefined), 20_000);
+	await delay(4000);
 	const isAccepted = await fleet.submit('planner', id, {
 		spec: '{"lasts":true}', steps: [{
 			count: taskCount, cpu: 500, mem_mb: 128, estimated_ms: 1000, long_running: true,
 		}],
 	});
-	if (!isAccepted) {
+	if (!isAccepted || !isOtherAccepted) {
 		throw new Error('The job was not accepted');
 	}
 
@@ -52,7 +61,7 @@
 				fleet.record('task at work again', {task, afterMs: now - endedAt});
 				lost.delete(task);
 			} else if (now - idleFrom > idleMs) {
-				violations.set(task, `LOST: task ${task}, which lasts, has not run for ${now - endedAt} ms, calm for ${now - calmFrom} ms, with most of the service idle`);
+				violations.set(task, `LOST: task ${task}, which lasts, has not run for ${now - endedAt} ms, calm for ${now - calmFrom} ms, with half of the workers nearly idle`);
 			}
 		}
 
