Keep requests for tickets in a queue of our own

Cause: each waiting step had a call of its own at the service that issues tickets, which handles one call of an instance at a time and does not learn that a call was given up. Class: calls that are repeated after a time-out while the former one still occupies the server.

Change: at most two calls are awaited at a time; which ones is decided at the end of each round of placement, by room and then by rank. A call is overdue by the calls before it, by the time that earlier ones took and by the overdue ones since the last answer; its answer is used also when it is late. Refused calls are told apart from unanswered ones. The validity of tickets counts from the earliest time of the decision. The answer to a request names the call.

Why it works: the service always has a next call and never more than it can handle, so each of its answers is of use; which step is next is decided when the service can take it.

--- a/packages/core/src/jobs/placement/ensure-tickets.test.ts
+++ b/packages/core/src/jobs/placement/ensure-tickets.test.ts
@@ -42,8 +42,8 @@
 				state.unanswered--;
 				answers.push({
 					at: state.freeAt, event: {
-						type: 'tickets-answered', job: effect.job, occurrence: effect.occurrence, step: effect.step,
-						...(state.unanswered >= 0 ? {tickets: [], validMs: 0} : {tickets: effect.workers.filter(id => allowedIds.has(id)).map(worker => ({worker, value: `ticket-${worker}`})), validMs: 3000}),
+						type: 'tickets-answered', call: effect.call,
+						answer: state.unanswered >= 0 ? {outcome: 'unanswered'} : {outcome: 'decided', tickets: effect.workers.filter(id => allowedIds.has(id)).map(worker => ({worker, value: `ticket-${worker}`})), validMs: 3000},
 					},
 				});
 			}
@@ -168,7 +168,7 @@
 		const worker = scheduler.workers.get('w1');
 		const [step] = scheduler.jobs.get('a')?.occurrences.get(0) ?? [];
 		assert.ok(worker && step?.tickets);
-		step.tickets.refused.set('w1', {workerStartedAtMs: 0, refusedAt: 1000});
+		step.tickets.refused.set('w1', {workerStartedAtMs: 0, refusedAt: 1000, count: 1});
 		advance(1000);
 		assert.deepEqual(requests.splice(0), [['w1']]);
 		advance(11_000);
--- a/packages/core/src/jobs/placement/ensure-tickets.ts
+++ b/packages/core/src/jobs/placement/ensure-tickets.ts
@@ -1,27 +1,24 @@
 import {findQueuePolicy} from '../state/find-queue-policy.js';
-import {ticketRefusalMs} from '../state/constants.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type StepState, type TicketState, type Worker} from '../state/scheduler.js';
-import {listTicketCandidates} from './list-ticket-candidates.js';
-
-/** Time after which an unanswered request is repeated; the service that issues tickets handles one call at a time for each instance. */
-const ticketTimeoutMs = 5000;
+import {type TicketRequest} from './ticket-request.js';
 
 /**
- * Requests tickets for a step if its queue requires them, and the step has no valid ones or could not be placed with those
- * that it has.
+ * Tells whether a step has the tickets that its queue requires, and notes that it needs some if it has no valid ones or could
+ * not be placed with those that it has.
  *
- * @param context - the reducer context; its state is changed and an effect may be added
+ * @param context - the reducer context; its state is changed
  * @param stepState - the step
- * @param workers - workers that may get new tasks
+ * @param options - workers that may get new tasks, and the requests of this round, to which one may be added
  * @returns true if the step may be placed now
  * @example
- * if (ensureTickets(context, stepState, workers)) { … }
+ * if (ensureTickets(context, stepState, {workers, requests})) { … }
  */
-export function ensureTickets(context: ReducerContext, stepState: StepState, workers: readonly Worker[]): boolean {
-	const {scheduler, now} = context;
+export function ensureTickets({scheduler, now}: ReducerContext, stepState: StepState, options: {workers: readonly Worker[]; requests: TicketRequest[]}): boolean {
+	const {workers, requests} = options;
 	const job = stepState.groups[0]?.job;
-	if (job === undefined || findQueuePolicy(scheduler, job).ticketRule === undefined) {
+	const policy = job === undefined ? undefined : findQueuePolicy(scheduler, job);
+	if (policy?.ticketRule === undefined) {
 		stepState.tickets = undefined;
 		return true;
 	}
@@ -29,46 +26,25 @@
 	stepState.tickets ??= createTicketState();
 	const {tickets} = stepState;
 	discardExpired(tickets, now);
-	const isPending = tickets.requestPending && now - tickets.requestedAt < ticketTimeoutMs;
-	if (!isPending && now >= tickets.requestDueAt && (tickets.granted.size === 0 || tickets.isInsufficient)) {
-		requestTickets(context, {stepState, tickets, workers});
+	if (tickets.pendingCall === undefined && now >= tickets.requestDueAt && (tickets.granted.size === 0 || tickets.isInsufficient)) {
+		requests.push({
+			stepState, tickets, rule: policy.ticketRule, service: policy.service, workers,
+		});
 	}
 
 	return tickets.granted.size > 0;
 }
 
-function discardExpired({granted, refused}: TicketState, now: number): void {
+function discardExpired({granted}: TicketState, now: number): void {
 	for (const [id, {validUntil}] of granted) {
 		if (validUntil <= now) {
 			granted.delete(id);
 		}
 	}
-
-	for (const [id, {refusedAt}] of refused) {
-		if (now - refusedAt >= ticketRefusalMs) {
-			refused.delete(id);
-		}
-	}
 }
 
 function createTicketState(): TicketState {
 	return {
-		requestPending: false, requestedAt: 0, requestedWorkers: [], requestDueAt: 0, fruitlessRequests: 0, isInsufficient: false, granted: new Map(), refused: new Map(),
+		pendingCall: undefined, requestedWorkers: [], requestDueAt: 0, isAnswered: false, fruitlessRequests: 0, isInsufficient: false, granted: new Map(), refused: new Map(),
 	};
 }
-
-function requestTickets(context: ReducerContext, options: {stepState: StepState; tickets: TicketState; workers: readonly Worker[]}): void {
-	const {stepState, tickets} = options;
-	const requestedWorkers = listTicketCandidates(context.scheduler, options).map(({id}) => id);
-	if (requestedWorkers.length === 0) {
-		return;
-	}
-
-	tickets.requestPending = true;
-	tickets.requestedAt = context.now;
-	tickets.requestedWorkers = requestedWorkers;
-	tickets.isInsufficient = false;
-	context.effects.push({
-		type: 'ask-tickets', job: stepState.groups[0]?.job.definition.id ?? '', occurrence: stepState.occurrence, step: stepState.step, workers: requestedWorkers,
-	});
-}
--- a/packages/core/src/jobs/placement/explain-wait.test.ts
+++ b/packages/core/src/jobs/placement/explain-wait.test.ts
@@ -145,7 +145,7 @@
 		},
 		end(owner) {
 			owner.dispatch({
-				type: 'tickets-answered', job: 'a', occurrence: 0, step: 0, tickets: [{worker: 'w1', value: 't'}], validMs: 3000,
+				type: 'tickets-answered', call: 1, answer: {outcome: 'decided', tickets: [{worker: 'w1', value: 't'}], validMs: 3000},
 			});
 		},
 	},
--- a/packages/core/src/jobs/placement/explain-wait.ts
+++ b/packages/core/src/jobs/placement/explain-wait.ts
@@ -66,10 +66,11 @@
 	}
 
 	if (step.tickets?.granted.size === 0) {
-		const {requestPending, requestedWorkers, refused, fruitlessRequests} = step.tickets;
+		const {pendingCall, requestedWorkers, refused, fruitlessRequests} = step.tickets;
+		const {calls, slowness} = scheduler.ticketService;
 		return {
 			reason: 'tickets', details: {
-				requestPending, requested: requestedWorkers.length, refused: refused.size, fruitlessRequests,
+				requestPending: pendingCall !== undefined, requested: requestedWorkers.length, refused: refused.size, fruitlessRequests, calls: calls.length, slowness,
 			},
 		};
 	}
--- a/packages/core/src/jobs/placement/is-worth-trying.ts
+++ b/packages/core/src/jobs/placement/is-worth-trying.ts
@@ -1,11 +1,9 @@
 import {isFarBelowLimit} from '../order/is-far-below-limit.js';
 import {maximumPlacementFailures} from '../state/constants.js';
 import {type ActiveJob, type Scheduler} from '../state/scheduler.js';
+import {isSpacious} from './is-spacious.js';
 import {type RoundFailures} from './round-failures.js';
 
-/** Part of a service's cores up to which every waiting job is tried: that much room must not stay unused because of jobs that do not fit into it. */
-const spaciousFraction = 0.5;
-
 /**
  * Tells whether a job is tried in a round. After several failures, the rest of the round is skipped for jobs that need the
  * same scarce room, which bounds the work and keeps small tasks from using up what larger ones wait for.
@@ -25,16 +23,3 @@
 
 	return (failures.byOrganisation.get(organisation) ?? 0) < maximumPlacementFailures || isFarBelowLimit(scheduler, organisation);
 }
-
-function isSpacious({workers}: Scheduler, service: string): boolean {
-	let used = 0;
-	let capacity = 0;
-	for (const worker of workers.values()) {
-		if (worker.listing?.service === service) {
-			used += worker.used.cpuMillis;
-			capacity += worker.listing.capacity.cpuMillis;
-		}
-	}
-
-	return used < capacity * spaciousFraction;
-}
--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -16,6 +16,7 @@
 import {addResources} from './add-resources.js';
 import {ensureTickets} from './ensure-tickets.js';
 import {isEligible} from './is-eligible.js';
+import {type TicketRequest} from './ticket-request.js';
 import {satisfiesAntiAffinity} from './satisfies-anti-affinity.js';
 
 /** Number of start orders that may still be sent in this round. */
@@ -37,14 +38,14 @@
  * long-running ones that have been up for long. A worker that is being emptied for one gets no other tasks in this round.
  *
  * @param context - the reducer context; its state is changed and effects are added
- * @param options - jobs with ready tasks in the order of their ranks, schedulable workers by service, from which the workers taken are removed, and the order budget
+ * @param options - jobs with ready tasks in the order of their ranks, schedulable workers by service, from which the workers taken are removed, the order budget, and the requests for tickets of this round, to which some may be added
  * @returns number of jobs with a suspected task that waits, by service
  * @example
- * placeIsolatedGroups(context, {jobs, schedulable, budget});
+ * placeIsolatedGroups(context, {jobs, schedulable, budget, requests});
  */
-export function placeIsolatedGroups(context: ReducerContext, options: {jobs: readonly ActiveJob[]; schedulable: ReadonlyMap<string, Worker[]>; budget: OrderBudget}): Map<string, number> {
+export function placeIsolatedGroups(context: ReducerContext, options: {jobs: readonly ActiveJob[]; schedulable: ReadonlyMap<string, Worker[]>; budget: OrderBudget; requests: TicketRequest[]}): Map<string, number> {
 	const {scheduler, now} = context;
-	const {jobs, schedulable, budget} = options;
+	const {jobs, schedulable, budget, requests} = options;
 	const suspects = jobs.flatMap(job => listSuspects(job, now))
 		.toSorted((left, right) => left.group.crashedRuns.size - right.group.crashedRuns.size);
 	const suspectedJobs = countJobs(scheduler, suspects);
@@ -66,7 +67,7 @@
 			continue;
 		}
 
-		if (!mayStartUnderLimit(scheduler, group, now) || !ensureTickets(context, step, workers)) {
+		if (!mayStartUnderLimit(scheduler, group, now) || !ensureTickets(context, step, {workers, requests})) {
 			continue;
 		}
 
--- a/packages/core/src/jobs/placement/place-ready-tasks.test.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.test.ts
@@ -38,7 +38,7 @@
 				});
 			} else if (effect.type === 'ask-tickets') {
 				dispatch({
-					type: 'tickets-answered', job: effect.job, occurrence: effect.occurrence, step: effect.step, tickets: [], validMs: 3000,
+					type: 'tickets-answered', call: effect.call, answer: {outcome: 'decided', tickets: [], validMs: 3000},
 				});
 			}
 		}
--- a/packages/core/src/jobs/placement/place-ready-tasks.ts
+++ b/packages/core/src/jobs/placement/place-ready-tasks.ts
@@ -31,13 +31,15 @@
 import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {mayStillRun} from './may-still-run.js';
 import {ensureTickets} from './ensure-tickets.js';
+import {sendTicketRequests} from './send-ticket-requests.js';
+import {type TicketRequest} from './ticket-request.js';
 
 /** Maximum number of workers in a log line. */
 const maximumLoggedWorkers = 4;
 
 type Unplaced = {readonly group: TaskGroup; readonly step: StepState};
 
-type RoundOptions = {workers: readonly Worker[]; budget: OrderBudget; forecasts: RackForecasts; screening: Screening | undefined};
+type RoundOptions = {workers: readonly Worker[]; budget: OrderBudget; forecasts: RackForecasts; screening: Screening | undefined; requests: TicketRequest[]};
 
 const noUnreconciledUsage = new Map<string, Resources>();
 
@@ -63,14 +65,25 @@
 	}
 
 	const schedulable = listSchedulableWorkers(scheduler, now);
-	const forecasts: RackForecasts = {byRack: new Map(), lastWait: undefined};
-	const failures: RoundFailures = {byService: new Map(), byOrganisation: new Map()};
 	const ordered = orderJobs(scheduler, waiting, now);
 	logOrder(context);
-	const suspectedJobs = placeIsolatedGroups(context, {jobs: ordered, schedulable, budget});
-	const screenings = planScreening(scheduler, {suspectedJobs, schedulable, now});
-	scheduler.screenings = screenings;
-	for (const job of ordered) {
+	const requests: TicketRequest[] = [];
+	const suspectedJobs = placeIsolatedGroups(context, {
+		jobs: ordered, schedulable, budget, requests,
+	});
+	scheduler.screenings = planScreening(scheduler, {suspectedJobs, schedulable, now});
+	placeJobs(context, {
+		jobs: ordered, schedulable, budget, requests,
+	});
+	sendTicketRequests(context, requests);
+}
+
+function placeJobs(context: ReducerContext, options: {jobs: readonly ActiveJob[]; schedulable: ReadonlyMap<string, Worker[]>; budget: OrderBudget; requests: TicketRequest[]}): void {
+	const {scheduler, now} = context;
+	const {jobs, schedulable, budget, requests} = options;
+	const forecasts: RackForecasts = {byRack: new Map(), lastWait: undefined};
+	const failures: RoundFailures = {byService: new Map(), byOrganisation: new Map()};
+	for (const job of jobs) {
 		if (budget.orders <= 0) {
 			return;
 		}
@@ -82,7 +95,7 @@
 		}
 
 		for (const {group, step} of placeJob(context, job, {
-			workers, budget, forecasts, screening: screenings.get(service),
+			workers, budget, forecasts, screening: scheduler.screenings.get(service), requests,
 		})) {
 			recordFailure(scheduler, failures, {
 				group, step, service, workers, now,
@@ -112,12 +125,12 @@
 
 /** Places as many tasks of a job as possible and returns the first group of each step that does not fit. */
 function placeJob(context: ReducerContext, job: ActiveJob, options: RoundOptions): Unplaced[] {
-	const {workers} = options;
+	const {workers, requests} = options;
 	const unplaced: Unplaced[] = [];
 	let isWaiting = false;
 	for (const steps of job.occurrences.values()) {
 		for (const step of steps) {
-			if (isStepReady(steps, step) && ensureTickets(context, step, workers)) {
+			if (isStepReady(steps, step) && ensureTickets(context, step, {workers, requests})) {
 				const {first, waiting} = placeStep(context, step, options);
 				isWaiting ||= waiting;
 				if (first !== undefined) {
--- a/packages/core/src/jobs/state/configuration-schema.ts
+++ b/packages/core/src/jobs/state/configuration-schema.ts
@@ -6,7 +6,7 @@
 	accelerators: z.number().default(0),
 });
 
-/** Rule under which only workers with a ticket may run a step; tickets are requested before placement. The scheduler reads only whether there is a rule; each answer with tickets says how long they are valid. */
+/** Rule under which only workers with a ticket may run a step; tickets are requested before placement. A request takes `decideMs`, and `eachMs` for each worker that it names. Each answer with tickets says how long they are valid. */
 const ticketRuleSchema = z.object({
 	decideMs: z.number().min(0),
 	eachMs: z.number().min(0),
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -121,12 +121,21 @@
 /** The same after a request without tickets; the platform allows no more. */
 export const maximumTicketCandidatesAfterRefusal = 100;
 
-/** Time after which a worker without a ticket is asked for again; the platform describes its decisions as final. */
+/** Time after which a worker without a ticket is asked for again, doubled after each further refusal; the platform describes its decisions as final. */
 export const ticketRefusalMs = 10_000;
 
-/** Pause after a request for tickets that was not answered; the service refuses calls while too many wait. */
+/** Requests for tickets that are awaited at the same time: the service handles one, and the next one when it has answered. Others wait here, where they can be reordered and dropped. */
+export const maximumTicketCalls = 2;
+
+/** Pause after a request for tickets that was not answered or was refused; after refusals in a row it is doubled each time. */
 export const ticketRetryMs = 200;
 
+/** Most doublings of a time that depends on failures of the service that issues tickets. */
+export const maximumTicketDoublings = 3;
+
+/** Part of the time until a request for tickets is overdue that does not depend on what it asks for: a new connection, and a pause of either process. */
+export const ticketLatencyMs = 1000;
+
 /** Workers that are remembered as holders of tickets for a step of a queue, at most as many as one request names. */
 export const maximumTicketHolders = 100;
 
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -57,6 +57,9 @@
 		workers: new Map(),
 		endedIncarnations: new Map(),
 		ticketHolders: new Map(),
+		ticketService: {
+			calls: [], callNumber: 0, answeredAt: Number.NEGATIVE_INFINITY, slowness: 1, overdueCalls: 0, refusedCalls: 0, callDueAt: now,
+		},
 		jobs: new Map(),
 		endingJobs: new Set(),
 		endedJobs: new Map(),
--- a/packages/core/src/jobs/state/effect.ts
+++ b/packages/core/src/jobs/state/effect.ts
@@ -22,7 +22,8 @@
 	/** `admission`: the admission record that is to be written with the summary; undefined if the stored one stays as it is. `view`: the encoded view of the schedule, if it has changed since it was last published. */
 	| {readonly type: 'publish-summary'; readonly queues: Readonly<Record<string, QueueSummary>>; readonly admission?: AdmissionRecord | undefined; readonly view?: string | undefined}
 	| {readonly type: 'publish-wave'; readonly wave: number; readonly state: 'running' | 'completed'}
-	| {readonly type: 'ask-tickets'; readonly job: string; readonly occurrence: number; readonly step: number; readonly workers: readonly string[]}
+	/** `call`: number of the call. */
+	| {readonly type: 'ask-tickets'; readonly call: number; readonly job: string; readonly occurrence: number; readonly step: number; readonly workers: readonly string[]}
 	| {readonly type: 'list-instances'}
 	| {readonly type: 'upkeep'; readonly instance: string; readonly wave: number}
 	| {readonly type: 'move'; readonly instance: string; readonly pool: string}
--- a/packages/core/src/jobs/state/event.ts
+++ b/packages/core/src/jobs/state/event.ts
@@ -56,6 +56,17 @@
 
 export type OrderAnswer = {readonly outcome: OrderOutcome; readonly clockMs?: number | undefined; readonly startedAtMs?: number | undefined};
 
+/**
+ * Answer to a request for tickets.
+ * `decided`: the workers with tickets may run the step; the tickets are valid for `validMs` milliseconds.
+ * `refused`: the service has not accepted the request, and does not handle it later.
+ * `unanswered`: the answer is no longer awaited.
+ */
+export type TicketAnswer =
+	| {readonly outcome: 'decided'; readonly tickets: ReadonlyArray<{readonly worker: string; readonly value: string}>; readonly validMs: number}
+	| {readonly outcome: 'refused'}
+	| {readonly outcome: 'unanswered'};
+
 export type SchedulerEvent =
 	| {readonly type: 'ticked'}
 	| {readonly type: 'configuration-changed'; readonly configuration: Configuration}
@@ -72,7 +83,8 @@
 	| {readonly type: 'report-failed'; readonly worker: string; readonly outcome: OrderOutcome}
 	| {readonly type: 'start-answered'; readonly worker: string; readonly task: string; readonly run: number; readonly answer: OrderAnswer}
 	| {readonly type: 'stop-answered'; readonly worker: string; readonly task: string; readonly run: number; readonly answer: OrderAnswer}
-	| {readonly type: 'tickets-answered'; readonly job: string; readonly occurrence: number; readonly step: number; readonly tickets: ReadonlyArray<{readonly worker: string; readonly value: string}>; readonly validMs: number}
+	/** `call`: number of the call, as in the effect. */
+	| {readonly type: 'tickets-answered'; readonly call: number; readonly answer: TicketAnswer}
 	| {readonly type: 'committed'; readonly number: number}
 	| {readonly type: 'commit-failed'; readonly number: number}
 	/** `foreign`: the order does not apply to this instance or wave, and repeating it is useless. `fenced`: a later owner has sent orders about this instance. `busy`: any other refusal. `unanswered`: the order may have been carried out. */
--- a/packages/core/src/jobs/state/reduce-scheduler.ts
+++ b/packages/core/src/jobs/state/reduce-scheduler.ts
@@ -167,8 +167,8 @@
 			handleStopAnswer(context, worker, {task, run, answer});
 		}
 	},
-	'tickets-answered'(context, event) {
-		handleTickets(context, event);
+	'tickets-answered'(context, {call, answer}) {
+		handleTickets(context, {call, answer});
 	},
 	committed(context, {number}) {
 		finishCommit(context, {number, stored: true});
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -227,16 +227,18 @@
 /** Permit for one incarnation of a worker to run a step. */
 export type Ticket = {readonly value: string; readonly workerStartedAtMs: number; readonly validUntil: number};
 
-/** A worker that got no ticket for a step, and when. */
-export type TicketRefusal = {readonly workerStartedAtMs: number; readonly refusedAt: number};
+/** A worker that got no ticket for a step, when, and how often in a row. */
+export type TicketRefusal = {readonly workerStartedAtMs: number; readonly refusedAt: number; readonly count: number};
 
 export type TicketState = {
-	requestPending: boolean;
-	requestedAt: number;
+	/** Number of the call that is awaited; undefined if none is. */
+	pendingCall: number | undefined;
 	/** Workers named in the last request. */
 	requestedWorkers: readonly string[];
 	/** Local time from which the next request may be sent; later than now after one without an answer. */
 	requestDueAt: number;
+	/** A request of the step has been answered. */
+	isAnswered: boolean;
 	/** Requests in a row that were answered without a ticket. */
 	fruitlessRequests: number;
 	/** A group could not be placed on the workers with tickets, so further workers are asked for. */
@@ -246,6 +248,44 @@
 	readonly refused: Map<string, TicketRefusal>;
 };
 
+/** A call to the service that issues tickets whose answer may still arrive. */
+export type TicketCall = {
+	/** Calls are numbered in the order in which they are sent, from 1. */
+	readonly number: number;
+	readonly job: string;
+	readonly occurrence: number;
+	readonly step: number;
+	readonly workers: readonly string[];
+	readonly sentAt: number;
+	/** Time in milliseconds that the service takes for it by the rule of the queue. */
+	readonly costMs: number;
+	/** Time in milliseconds by that rule for this call and those that were ahead of it when it was sent. */
+	readonly queuedCostMs: number;
+	/** Local time from which the step is asked for anew; an answer that arrives later is used as well. */
+	overdueAt: number;
+	isOverdue: boolean;
+	/** The service has answered a later call, so this one does not wait there any more. */
+	isHandled: boolean;
+};
+
+/** The service that issues tickets, as far as its calls show. It handles the calls of one instance in turn. */
+export type TicketService = {
+	/** Calls without an answer, the oldest first. */
+	readonly calls: TicketCall[];
+	/** Number of the last call. */
+	callNumber: number;
+	/** Local time of its last answer with a decision. */
+	answeredAt: number;
+	/** Time that its calls take, as a multiple of what the rules of the queues say; 1 at least. */
+	slowness: number;
+	/** Calls that have become overdue since the last answer. */
+	overdueCalls: number;
+	/** Calls in a row that it refused. */
+	refusedCalls: number;
+	/** Local time from which the next call may be sent; later than now after a refusal. */
+	callDueAt: number;
+};
+
 export type StepState = {
 	/** Number of the occurrence of the job, from 0; a job that is not scheduled has only number 0. */
 	readonly occurrence: number;
@@ -346,6 +386,7 @@
 	readonly endedIncarnations: Map<string, number>;
 	/** Workers that got tickets last, by queue and position of the step; they are asked for first. */
 	readonly ticketHolders: Map<string, Set<string>>;
+	readonly ticketService: TicketService;
 	readonly jobs: Map<string, ActiveJob>;
 	/** Jobs whose end is stored and whose tasks are still being stopped. */
 	readonly endingJobs: Set<ActiveJob>;
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -124,16 +124,15 @@
 			type: 'wave-published', wave, state, stored,
 		});
 	},
-	async 'ask-tickets'({job, occurrence, step, workers}, {platform, dispatch, logger}) {
+	async 'ask-tickets'({call, job, occurrence, step, workers}, {platform, dispatch, logger}) {
+		const sentAt = performance.now();
 		const answer = await platform.tickets.requestTickets({
 			job, occurrence, step, workers,
 		});
 		logger.log('tickets-answered', {
-			job, occurrence, step, asked: workers.length, tickets: answer?.tickets.length,
-		});
-		dispatch({
-			type: 'tickets-answered', job, occurrence, step, tickets: answer?.tickets ?? [], validMs: answer?.validMs ?? 0,
+			job, occurrence, step, call, asked: workers.length, outcome: answer.outcome, tickets: answer.outcome === 'decided' ? answer.tickets.length : undefined, tookMs: Math.round(performance.now() - sentAt),
 		});
+		dispatch({type: 'tickets-answered', call, answer});
 	},
 	async 'list-instances'(_effect, {platform, dispatch}) {
 		const requestedAt = performance.now();
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -4,7 +4,9 @@
  */
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Configuration} from '@rosemaryquay/core/jobs/state/configuration-schema';
-import {type OrderAnswer, type OrderOutcome, type WorkerReport} from '@rosemaryquay/core/jobs/state/event';
+import {
+	type OrderAnswer, type OrderOutcome, type TicketAnswer, type WorkerReport,
+} from '@rosemaryquay/core/jobs/state/event';
 import {type ListedInstance, type WaveRequest} from '@rosemaryquay/core/jobs/state/instance';
 import {type Step} from '@rosemaryquay/core/jobs/state/job-schema';
 import {type ListedWorker} from '@rosemaryquay/core/jobs/state/scheduler';
@@ -75,11 +77,9 @@
 	move(order: {readonly owner: OwnerIdentity; readonly instance: string; readonly pool: string}): Promise<InstanceAnswer>;
 };
 
-export type Tickets = {readonly tickets: ReadonlyArray<{readonly worker: string; readonly value: string}>; readonly validMs: number};
-
-/** Calls to the service that issues tickets: permits for workers to run a step. Each resolves to undefined when the service does not answer. */
+/** Calls to the service that issues tickets: permits for workers to run a step. Each resolves to an outcome and never rejects. */
 export type TicketCalls = {
-	requestTickets(request: {readonly job: string; readonly occurrence: number; readonly step: number; readonly workers: readonly string[]}): Promise<Tickets | undefined>;
+	requestTickets(request: {readonly job: string; readonly occurrence: number; readonly step: number; readonly workers: readonly string[]}): Promise<TicketAnswer>;
 };
 
 /** A job as a caller submits it. */
--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -161,10 +161,10 @@
 				});
 			}
 		},
-		'ask-tickets': ({job, occurrence, step, workers}, owner) => {
+		'ask-tickets': ({call, workers}, owner) => {
 			this.#network.deliver(() => {
 				this.dispatch({
-					type: 'tickets-answered', job, occurrence, step, tickets: workers.map(worker => ({worker, value: `ticket-${worker}`})), validMs: 3000,
+					type: 'tickets-answered', call, answer: {outcome: 'decided', tickets: workers.map(worker => ({worker, value: `ticket-${worker}`})), validMs: 3000},
 				}, owner);
 			});
 		},
