Take instances away only when no task can be at work there

Cause: an instance without a listed worker, and a worker without assigned tasks, were taken for empty ones. The entry of a worker may have expired while it works, and a new owner does not know the tasks of a worker that has not answered it. Class: what is not known yet was taken for a no.

Change: judgeOccupancy answers for waves, drains and moves, from all workers that may hold a lease on the instance: occupied, empty, or not known until the worker answers or the longest lease is over. Workers are returned to service by instance, whether or not they are listed: one whose entry expired while it was drained for another pool stayed cordoned.

Why it works: tasks run only under a lease, leases are sent to recorded workers only, and each recorded worker either answers or has lost its lease after a known time.

--- a/packages/core/src/jobs/pools/handle-instances.ts
+++ b/packages/core/src/jobs/pools/handle-instances.ts
@@ -1,11 +1,10 @@
 import {idleInstanceListIntervalMs, instanceListIntervalMs, takeoverSettlingMs} from '../state/constants.js';
 import {endIncarnation} from '../runs/end-incarnation.js';
 import {type ListedInstance, type Upkeep, type Wave} from '../state/instance.js';
-import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {type Scheduler, type Worker} from '../state/scheduler.js';
+import {type Worker} from '../state/scheduler.js';
 import {hasBegunForWave} from '../waves/has-begun-for-wave.js';
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {uncordonWorkers} from './uncordon-workers.js';
 
 /**
  * Processes the list of instances. A worker that has neither answered nor got a new entry in the store since the list was
@@ -75,10 +74,7 @@
 		upkeep.state = 'pending';
 		upkeep.changedAt = context.now;
 		upkeep.mayHaveBegun = false;
-		const worker = findWorkerOfInstance(context.scheduler, upkeep.instance);
-		if (worker !== undefined) {
-			worker.cordoned = false;
-		}
+		uncordonWorkers(context.scheduler, upkeep.instance);
 	}
 
 	const isUp = upkeep.state === 'down' && requestedAt > upkeep.acceptedAt && listed?.state === 'up';
@@ -89,14 +85,7 @@
 	}
 
 	if (isUp) {
-		uncordonWorker(context.scheduler, listed);
-	}
-}
-
-/** The upkeep may have been over before it was requested; the worker that was cordoned for it then still runs. */
-function uncordonWorker(scheduler: Scheduler, {id, worker: workerId}: ListedInstance): void {
-	const worker = findWorkerOfInstance(scheduler, id);
-	if (worker?.id === workerId && !isUpkeepInProgress(scheduler, id) && !scheduler.moves.has(id)) {
-		worker.cordoned = false;
+		// The upkeep may have been over before it was requested; the worker that was cordoned for it then still runs.
+		uncordonWorkers(context.scheduler, upkeep.instance);
 	}
 }
--- a/packages/core/src/jobs/pools/handle-move-answer.ts
+++ b/packages/core/src/jobs/pools/handle-move-answer.ts
@@ -2,7 +2,8 @@
 import {getIncarnation} from '../runs/get-incarnation.js';
 import {isSameIncarnation} from '../runs/is-same-incarnation.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {listWorkersOfInstance} from './list-workers-of-instance.js';
+import {uncordonWorkers} from './uncordon-workers.js';
 
 /**
  * Processes the answer to a request to move an instance. An unanswered request stays pending and is repeated, since it
@@ -26,13 +27,15 @@
 		return;
 	}
 
-	const worker = findWorkerOfInstance(scheduler, instance);
 	if (outcome === 'accepted') {
 		move.state = 'moving';
 		move.acceptedAt = now;
 		// A repeated order is accepted as well when the first one, whose answer was lost, has been carried out; another worker may run there by now.
-		if (worker !== undefined && isSameIncarnation(getIncarnation(worker), move.incarnation)) {
-			endIncarnation(context, worker, 'moved');
+		for (const worker of listWorkersOfInstance(scheduler, instance, now)) {
+			// The lease of one that is no longer listed runs out by itself.
+			if (worker.listing !== undefined && isSameIncarnation(getIncarnation(worker), move.incarnation)) {
+				endIncarnation(context, worker, 'moved');
+			}
 		}
 
 		scheduler.instanceListDueAt = Math.min(scheduler.instanceListDueAt, now);
@@ -40,7 +43,5 @@
 	}
 
 	scheduler.moves.delete(instance);
-	if (worker !== undefined) {
-		worker.cordoned = false;
-	}
+	uncordonWorkers(scheduler, instance);
 }
--- /dev/null
+++ b/packages/core/src/jobs/pools/judge-occupancy.ts
@@ -0,0 +1,24 @@
+import {type Worker} from '../state/scheduler.js';
+
+/**
+ * Whether tasks run on an instance. `unknown`: a worker there may run tasks of a former owner and has not answered this one;
+ * it answers, or its lease expires.
+ */
+export type Occupancy = 'empty' | 'occupied' | 'unknown';
+
+/**
+ * Judges whether tasks run on an instance, so that it must not go down, move or reboot yet.
+ *
+ * @param workers - the workers that may run tasks there
+ * @param now - local time in milliseconds
+ * @returns `empty` only if no task can be at work there
+ * @example
+ * judgeOccupancy(listWorkersOfInstance(scheduler, 'm-1', now), now) === 'empty';
+ */
+export function judgeOccupancy(workers: readonly Worker[], now: number): Occupancy {
+	if (workers.some(({tasks}) => tasks.size > 0)) {
+		return 'occupied';
+	}
+
+	return workers.some(({unreconciledUntil}) => now <= unreconciledUntil) ? 'unknown' : 'empty';
+}
--- a/packages/core/src/jobs/pools/measure-pools.ts
+++ b/packages/core/src/jobs/pools/measure-pools.ts
@@ -20,7 +20,7 @@
 import {measureReserves} from './measure-reserves.js';
 import {observeBurst} from './observe-burst.js';
 import {forecastDemand} from './forecast-demand.js';
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {listWorkersOfInstance} from './list-workers-of-instance.js';
 
 /** Time within which the ready tasks of a pool should be done; if its capacity does not suffice, more instances are requested, which take longer than that to arrive. */
 const backlogTargetMs = 700;
@@ -105,9 +105,9 @@
 function addBlockedUpkeeps({scheduler, now}: ReducerContext, pools: ReadonlyMap<string, PoolLoad>): void {
 	for (const {upkeeps} of scheduler.waves.values()) {
 		for (const {instance, state, changedAt} of upkeeps.values()) {
-			const worker = state === 'draining' && now - changedAt > blockedUpkeepMs ? findWorkerOfInstance(scheduler, instance) : undefined;
-			const pool = pools.get(worker?.listing?.service ?? '');
-			if (pool !== undefined && [...worker?.tasks ?? []].every(({group}) => group.definition.longRunning)) {
+			const workers = state === 'draining' && now - changedAt > blockedUpkeepMs ? listWorkersOfInstance(scheduler, instance, now) : [];
+			const pool = pools.get(workers[0]?.service ?? '');
+			if (pool !== undefined && workers.every(({tasks}) => [...tasks].every(({group}) => group.definition.longRunning))) {
 				pool.unmetLongRunningNeeds++;
 			}
 		}
--- a/packages/core/src/jobs/pools/plan-drains.test.ts
+++ b/packages/core/src/jobs/pools/plan-drains.test.ts
@@ -81,4 +81,21 @@
 		assert.equal(worker.cordoned, true);
 		assert.equal(scheduler.drains.size, 0);
 	});
+
+	it('guards against a worker that gets no tasks any more because its entry expired while it was drained', () => {
+		const {
+			scheduler, worker, north, plan,
+		} = createOwner();
+		const {listing} = worker;
+		assert.ok(listing);
+		plan({now: 0, shortage: 8000});
+		assert.equal(worker.cordoned, true);
+		reduceScheduler(scheduler, {type: 'worker-unlisted', id: 'w1'}, {now: 100, timeOfDay: 100});
+		worker.startedAtMs = listing.startedAtMs;
+		worker.clockReadAt = -60_000;
+		north.workers.pop();
+		plan({now: 150, shortage: 8000});
+		reduceScheduler(scheduler, {type: 'worker-listed', worker: listing}, {now: 200, timeOfDay: 200});
+		assert.equal(worker.cordoned, false);
+	});
 });
--- a/packages/core/src/jobs/pools/plan-drains.ts
+++ b/packages/core/src/jobs/pools/plan-drains.ts
@@ -5,7 +5,9 @@
 } from '../state/scheduler.js';
 import {estimateDuration} from '../estimates/estimate-duration.js';
 import {measureTimelyNeed} from './measure-timely-need.js';
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {judgeOccupancy} from './judge-occupancy.js';
+import {listWorkersOfInstance} from './list-workers-of-instance.js';
+import {uncordonWorkers} from './uncordon-workers.js';
 
 /** Longest time that a worker is drained for another pool. Its tasks are expected to end sooner; otherwise their estimates were wrong. */
 const drainTimeoutMs = 4000;
@@ -27,15 +29,16 @@
 	const drained: Array<{instance: string; pool: string}> = [];
 	const remaining = new Map(shortages);
 	for (const {instance, pool, startedAt} of scheduler.drains.values()) {
-		const worker = findWorkerOfInstance(scheduler, instance);
+		const workers = listWorkersOfInstance(scheduler, instance, now);
 		const shortage = remaining.get(pool) ?? 0;
-		if (worker === undefined || shortage <= 0 || now - startedAt > drainTimeoutMs || isUpkeepInProgress(scheduler, instance)) {
-			endDrain(context, instance, worker);
+		if (workers.length === 0 || shortage <= 0 || now - startedAt > drainTimeoutMs || isUpkeepInProgress(scheduler, instance)) {
+			scheduler.drains.delete(instance);
+			uncordonWorkers(scheduler, instance);
 			continue;
 		}
 
-		remaining.set(pool, shortage - (worker.listing?.capacity.cpuMillis ?? 0));
-		if (worker.tasks.size === 0) {
+		remaining.set(pool, shortage - (workers[0]?.listing?.capacity.cpuMillis ?? 0));
+		if (judgeOccupancy(workers, now) === 'empty') {
 			scheduler.drains.delete(instance);
 			drained.push({instance, pool});
 		}
@@ -50,13 +53,6 @@
 	return drained;
 }
 
-function endDrain({scheduler}: ReducerContext, instance: string, worker: Worker | undefined): void {
-	scheduler.drains.delete(instance);
-	if (worker !== undefined) {
-		worker.cordoned = isUpkeepInProgress(scheduler, instance);
-	}
-}
-
 function startDrains({scheduler, now}: ReducerContext, options: {pool: string; shortage: number; candidates: readonly Worker[]}): void {
 	const {pool, candidates} = options;
 	let {shortage} = options;
--- a/packages/core/src/jobs/pools/plan-moves.ts
+++ b/packages/core/src/jobs/pools/plan-moves.ts
@@ -8,7 +8,8 @@
 import {measureTimelyNeed} from './measure-timely-need.js';
 import {measurePools} from './measure-pools.js';
 import {measureReserves} from './measure-reserves.js';
-import {findWorkerOfInstance} from './find-worker-of-instance.js';
+import {judgeOccupancy} from './judge-occupancy.js';
+import {listWorkersOfInstance} from './list-workers-of-instance.js';
 
 /** Interval between two plans; a move takes more than a second. */
 const planIntervalMs = 150;
@@ -48,7 +49,7 @@
 		.filter(({shortage}) => shortage > 0)
 		.toSorted((left, right) => right.timelyShortage - left.timelyShortage || right.shortage - left.shortage);
 	const surplusWorkers = listSurplusWorkers(context, pools);
-	const spareInstances = [...scheduler.instances.values()].filter(instance => sparePools.has(instance.pool) && isMovable(context, instance));
+	const spareInstances = [...scheduler.instances.values()].filter(instance => sparePools.has(instance.pool) && isMovable(context, instance) && isEmpty(context, instance.id));
 	for (const {pool, shortage} of shortages) {
 		requestInstances(context, {
 			pool, shortage, surplusWorkers, spareInstances,
@@ -123,6 +124,10 @@
 		&& !isUpkeepInProgress(scheduler, instance.id);
 }
 
+function isEmpty({scheduler, now}: ReducerContext, instance: string): boolean {
+	return judgeOccupancy(listWorkersOfInstance(scheduler, instance, now), now) === 'empty';
+}
+
 function isOnMovableInstance(context: ReducerContext, {listing}: Worker): boolean {
 	const instance = context.scheduler.instances.get(listing?.instance ?? '');
 	return instance !== undefined && isMovable(context, instance);
@@ -141,7 +146,7 @@
 	for (const pool of pools.values()) {
 		const idle = pool.workers
 			.filter(worker => worker.tasks.size === 0 && !worker.cordoned && worker.acknowledgedOwner && now - worker.idleSince > Math.min(scheduler.poolPolicy.directMoveIdleMs, getIdleReturnTime(scheduler, worker)))
-			.filter(worker => isOnMovableInstance(context, worker))
+			.filter(worker => isOnMovableInstance(context, worker) && isEmpty(context, worker.instance))
 			.toSorted((left, right) => left.idleSince - right.idleSince);
 		let surplus = pool.capacity - measureTarget(pool);
 		if (pool.unmetLongRunningNeeds > 0) {
@@ -194,11 +199,13 @@
 
 function requestMove(context: ReducerContext, instance: ListedInstance, pool: string): void {
 	const {scheduler, now} = context;
-	const worker = findWorkerOfInstance(scheduler, instance.id);
-	if (worker !== undefined) {
+	const workers = listWorkersOfInstance(scheduler, instance.id, now);
+	for (const worker of workers) {
 		worker.cordoned = true;
 	}
 
+	const worker = workers.find(({listing}) => listing !== undefined) ?? workers[0];
+
 	scheduler.moves.set(instance.id, {
 		instance: instance.id, pool, incarnation: getIncarnation(worker), state: 'requested', requestedAt: now, acceptedAt: 0,
 	});
--- a/packages/core/src/jobs/runs/get-incarnation.ts
+++ b/packages/core/src/jobs/runs/get-incarnation.ts
@@ -7,7 +7,7 @@
  * @param worker - the worker, if there is one
  * @returns its incarnation; undefined without a worker
  * @example
- * getIncarnation(findWorkerOfInstance(scheduler, 'm-1'));
+ * getIncarnation(scheduler.workers.get('w1'));
  */
 export function getIncarnation(worker: Worker | undefined): Incarnation | undefined {
 	return worker === undefined ? undefined : {worker: worker.id, startedAtMs: Math.max(worker.startedAtMs, worker.listing?.startedAtMs ?? 0)};
--- a/packages/core/src/jobs/waves/advance-waves.ts
+++ b/packages/core/src/jobs/waves/advance-waves.ts
@@ -1,10 +1,12 @@
 import {orderRetryMs, takeoverSettlingMs, forcedDrainFraction} from '../state/constants.js';
-import {findWorkerOfInstance} from '../pools/find-worker-of-instance.js';
+import {judgeOccupancy} from '../pools/judge-occupancy.js';
+import {listWorkersOfInstance} from '../pools/list-workers-of-instance.js';
 import {type Upkeep, type UpkeepState, type Wave} from '../state/instance.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {relocateTask} from '../placement/relocate-task.js';
-import {type Worker} from '../state/scheduler.js';
+import {type Task, type Worker} from '../state/scheduler.js';
 import {stopTask} from '../runs/stop-task.js';
+import {uncordonWorkers} from '../pools/uncordon-workers.js';
 
 /** Fraction of a pool that may be cordoned for upkeep at the same time. */
 const cordonedPoolFraction = 0.25;
@@ -15,15 +17,20 @@
 /** Time after which the drain of an instance is abandoned so that another instance can take its place. */
 const drainTimeoutMs = 9000;
 
-type UpkeepContext = {readonly wave: Wave; readonly upkeep: Upkeep; readonly worker: Worker | undefined};
+type UpkeepContext = {
+	readonly wave: Wave;
+	readonly upkeep: Upkeep;
+	/** Workers that may run tasks on the instance. */
+	readonly workers: readonly Worker[];
+};
 
 const handlers: Record<UpkeepState, (context: ReducerContext, target: UpkeepContext) => void> = {
-	pending(context, {wave, upkeep, worker}) {
-		if (countInProgress(context, wave) >= wave.request.maximumDown || !isListed(context, upkeep)) {
+	pending(context, {wave, upkeep, workers}) {
+		if (countInProgress(context, wave) >= wave.request.maximumDown || !isListed(context, upkeep) || judgeOccupancy(workers, context.now) === 'unknown') {
 			return;
 		}
 
-		if (worker === undefined) {
+		if (workers.length === 0) {
 			if (context.scheduler.instances.get(upkeep.instance)?.state === 'up') {
 				requestUpkeep(context, wave, upkeep);
 			}
@@ -31,36 +38,33 @@
 			return;
 		}
 
-		if (mayCordon(context, worker) && (hasSpareCapacity(context, worker) || isSpareCapacityWaitOver(context, wave))) {
-			worker.cordoned = true;
+		if (workers.every(worker => mayCordon(context, worker) && (hasSpareCapacity(context, worker) || isSpareCapacityWaitOver(context, wave)))) {
 			changeState(context, upkeep, 'draining');
+			cordonWorkers(workers);
 		}
 	},
-	draining(context, {wave, upkeep, worker}) {
-		if (worker === undefined || worker.tasks.size === 0) {
+	draining(context, {wave, upkeep, workers}) {
+		if (judgeOccupancy(workers, context.now) === 'empty') {
 			requestUpkeep(context, wave, upkeep);
 			return;
 		}
 
 		if (context.now - upkeep.changedAt > drainTimeoutMs && !isDrainForced(context, wave)) {
-			worker.cordoned = false;
 			changeState(context, upkeep, 'pending');
+			uncordonWorkers(context.scheduler, upkeep.instance);
 			return;
 		}
 
-		for (const task of worker.tasks) {
-			if (task.state !== 'running') {
-				continue;
-			}
-
-			if (task.group.definition.longRunning) {
-				relocateTask(context, task);
-			} else if (isDrainForced(context, wave)) {
-				stopTask(context, task);
+		// A worker that has started again is not cordoned.
+		cordonWorkers(workers);
+		for (const {tasks} of workers) {
+			for (const task of tasks) {
+				drainTask(context, wave, task);
 			}
 		}
 	},
-	requested(context, {wave, upkeep}) {
+	requested(context, {wave, upkeep, workers}) {
+		cordonWorkers(workers);
 		if (context.now - upkeep.changedAt > orderRetryMs) {
 			upkeep.mayHaveBegun = true;
 			requestUpkeep(context, wave, upkeep);
@@ -98,8 +102,8 @@
 		}
 
 		for (const upkeep of orderUpkeeps(context, wave)) {
-			const worker = findWorkerOfInstance(context.scheduler, upkeep.instance);
-			handlers[upkeep.state](context, {wave, upkeep, worker});
+			const workers = listWorkersOfInstance(context.scheduler, upkeep.instance, context.now);
+			handlers[upkeep.state](context, {wave, upkeep, workers});
 		}
 
 		wave.completed = [...wave.upkeeps.values()].every(({state}) => state === 'done');
@@ -108,10 +112,7 @@
 
 /** Orders upkeeps by the load of their instances, lowest first. */
 function orderUpkeeps(context: ReducerContext, wave: Wave): Upkeep[] {
-	const measureLoad = ({instance}: Upkeep): number => {
-		const worker = findWorkerOfInstance(context.scheduler, instance);
-		return worker === undefined ? 0 : 1 + worker.used.cpuMillis;
-	};
+	const measureLoad = ({instance}: Upkeep): number => listWorkersOfInstance(context.scheduler, instance, context.now).reduce((load, {used}) => load + 1 + used.cpuMillis, 0);
 
 	return [...wave.upkeeps.values()]
 		.filter(({state}) => state !== 'done' && state !== 'down')
@@ -142,8 +143,25 @@
 	return instances.size > 0 && instances.has(upkeep.instance);
 }
 
-function mayCordon(context: ReducerContext, worker: Worker): boolean {
-	const service = worker.listing?.service;
+function cordonWorkers(workers: readonly Worker[]): void {
+	for (const worker of workers) {
+		worker.cordoned = true;
+	}
+}
+
+function drainTask(context: ReducerContext, wave: Wave, task: Task): void {
+	if (task.state !== 'running') {
+		return;
+	}
+
+	if (task.group.definition.longRunning) {
+		relocateTask(context, task);
+	} else if (isDrainForced(context, wave)) {
+		stopTask(context, task);
+	}
+}
+
+function mayCordon(context: ReducerContext, {service}: Worker): boolean {
 	const poolWorkers = [...context.scheduler.workers.values()].filter(({listing}) => listing?.service === service);
 	const cordonedCount = poolWorkers.filter(({cordoned}) => cordoned).length;
 	return cordonedCount < Math.max(1, Math.floor(poolWorkers.length * cordonedPoolFraction));
@@ -151,7 +169,7 @@
 
 /** Tells whether the rest of the pool can take over the load of a worker; cordoning it then delays callers least. */
 function hasSpareCapacity({scheduler}: ReducerContext, worker: Worker): boolean {
-	const poolLoad = scheduler.poolLoads.get(worker.listing?.service ?? '');
+	const poolLoad = scheduler.poolLoads.get(worker.service);
 	return poolLoad === undefined || (poolLoad.unmetLongRunningNeeds === 0 && poolLoad.used + poolLoad.backlog + worker.used.cpuMillis < poolLoad.capacity);
 }
 
--- a/packages/core/src/jobs/waves/handle-upkeep-answer.ts
+++ b/packages/core/src/jobs/waves/handle-upkeep-answer.ts
@@ -1,4 +1,4 @@
-import {findWorkerOfInstance} from '../pools/find-worker-of-instance.js';
+import {uncordonWorkers} from '../pools/uncordon-workers.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 
 type Outcome = 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered';
@@ -29,7 +29,6 @@
 	context.effects.push({
 		type: 'log', level: 'info', event: 'upkeep-answered', fields: {wave, instance, outcome},
 	});
-	const worker = findWorkerOfInstance(scheduler, instance);
 	upkeep.mayHaveBegun ||= outcome === 'unanswered';
 	if (outcome === 'accepted') {
 		upkeep.state = 'down';
@@ -43,9 +42,7 @@
 		// The order does not apply to this instance or wave, so it is not repeated.
 		upkeep.state = 'done';
 		scheduler.dirtyWaves.add(known);
-		if (worker !== undefined) {
-			worker.cordoned = false;
-		}
+		uncordonWorkers(scheduler, instance);
 	}
 
 	if (outcome === 'busy') {
--- a/packages/core/src/jobs/waves/reconcile-waves.ts
+++ b/packages/core/src/jobs/waves/reconcile-waves.ts
@@ -1,9 +1,7 @@
 import {takeoverSettlingMs} from '../state/constants.js';
-import {findWorkerOfInstance} from '../pools/find-worker-of-instance.js';
-import {type Wave, type WaveRequest} from '../state/instance.js';
+import {uncordonWorkers} from '../pools/uncordon-workers.js';
+import {type WaveRequest} from '../state/instance.js';
 import {type ReducerContext} from '../state/reducer-context.js';
-import {type Scheduler} from '../state/scheduler.js';
-import {isUpkeepInProgress} from './is-upkeep-in-progress.js';
 
 /**
  * Adds waves that the operators have requested, and drops waves that they no longer request; workers that were being drained
@@ -20,7 +18,11 @@
 	for (const [number, wave] of scheduler.waves) {
 		if (!requests.some(request => request.number === number)) {
 			scheduler.waves.delete(number);
-			uncordonWorkers(scheduler, wave);
+			for (const {instance, state} of wave.upkeeps.values()) {
+				if (state !== 'pending' && state !== 'done') {
+					uncordonWorkers(scheduler, instance);
+				}
+			}
 		}
 	}
 
@@ -44,13 +46,3 @@
 		});
 	}
 }
-
-/** Returns the workers to service that were being drained for a wave, unless their instances go down or move for another reason. */
-function uncordonWorkers(scheduler: Scheduler, {upkeeps}: Wave): void {
-	for (const {instance, state} of upkeeps.values()) {
-		const worker = state === 'pending' || state === 'done' ? undefined : findWorkerOfInstance(scheduler, instance);
-		if (worker !== undefined && !isUpkeepInProgress(scheduler, instance) && !scheduler.moves.has(instance) && !scheduler.drains.has(instance)) {
-			worker.cordoned = false;
-		}
-	}
-}
