Bound the wait of long-running tasks for isolation by evidence and time

Cause: each task that was started lately on a crashed worker was suspected until it had proved itself, one of a job at a time and 2 s each. Siblings that proved themselves after the crash cleared nobody, and the wait for a place in isolation had no bound. Class: what is not known yet had no bound in time after which the likelier answer holds.

Change: the suspects of a step are cleared as soon as one of its long-running tasks has been up for long, unless workers have crashed under them three times. Of long-running tasks, one of each step is tried at a time. One under which a single worker has crashed waits 2 s for isolation at most. Those that were lost in a crash are spread over the workers until they have shown themselves.

Why it works: tasks of a step are alike, so one of them answers for all after 2.3 s, and the number of steps no longer multiplies the wait. A task at fault meets few others on its worker and is alone there from its third crash on.

--- a/packages/core/src/jobs/placement/choose-workers.test.ts
+++ b/packages/core/src/jobs/placement/choose-workers.test.ts
@@ -33,7 +33,7 @@
 		const definition = job.definition.steps[0];
 		assert.ok(definition);
 		return {
-			job, occurrence: 0, step: 0, definition, failedWorkers: new Map<string, number>(), tasks: [{worker: undefined as Worker | undefined, index}],
+			job, occurrence: 0, step: 0, definition, failedWorkers: new Map<string, number>(), crashedRuns: new Set<number>(), tasks: [{worker: undefined as Worker | undefined, index}],
 		};
 	});
 	const step = {
@@ -100,7 +100,7 @@
 	assert.ok(definition);
 	const tasks = Array.from({length: 4}, (_, index) => ({worker: undefined as Worker | undefined, index}));
 	const groups = (changes.gang ? [tasks] : tasks.map(task => [task])).map(members => ({
-		job, occurrence: 0, step: 0, definition, failedWorkers: new Map<string, number>(), tasks: members,
+		job, occurrence: 0, step: 0, definition, failedWorkers: new Map<string, number>(), crashedRuns: new Set<number>(), tasks: members,
 	}));
 	const step = {
 		occurrence: 0, step: 0, groups, remaining: groups.length, tickets: undefined,
@@ -163,7 +163,7 @@
 	const job = {};
 	const tasks = Array.from({length: definition.gang ? options.others + 1 : 1}, (_, index) => ({index}));
 	const group = {
-		job, occurrence: 0, step: 0, definition, failedWorkers: new Map([[failed.id, options.avoidedUntil]]), tasks,
+		job, occurrence: 0, step: 0, definition, failedWorkers: new Map([[failed.id, options.avoidedUntil]]), crashedRuns: new Set<number>(), tasks,
 	} as unknown as TaskGroup;
 	for (const worker of [failed, ...others]) {
 		assert.ok(worker.listing);
--- a/packages/core/src/jobs/placement/choose-workers.ts
+++ b/packages/core/src/jobs/placement/choose-workers.ts
@@ -1,6 +1,7 @@
 import {type Estimates} from '../estimates/estimates.js';
 import {splitBySpeed} from '../estimates/split-by-speed.js';
 import {type Resources} from '../state/configuration-schema.js';
+import {isHarmless} from '../crashes/is-harmless.js';
 import {staleWorkerMs} from '../state/constants.js';
 import {type StepState, type TaskGroup, type Worker} from '../state/scheduler.js';
 import {addResources} from './add-resources.js';
@@ -14,6 +15,7 @@
  * Chooses a worker for each task of a group. Prefers the rack that holds the data, or one rack for all tasks, where the
  * step asks for it. Tasks go to the worker with the least free capacity (best fit), so that other instances become empty and can move.
  * Long-running tasks do so only up to `mayMiss` and one of their step on a rack and on a worker; beyond that they are spread.
+ * Those that were lost in a crash are spread as well, so that one that caused it takes few others down again.
  *
  * @param group - the task group
  * @param stepState - the step that it belongs to
@@ -46,26 +48,26 @@
 	const {fast, slow} = splitBySpeed(estimates, workers, now);
 	// A step that only slow workers can run is not held back.
 	if (fast.length === 0) {
-		return chooseAmong(group, stepState, workers);
+		return chooseAmong(group, stepState, {workers, now});
 	}
 
-	return chooseAmong(group, stepState, fast) ?? (slow.length > 0 ? chooseAmong(group, stepState, slow) : undefined);
+	return chooseAmong(group, stepState, {workers: fast, now}) ?? (slow.length > 0 ? chooseAmong(group, stepState, {workers: slow, now}) : undefined);
 }
 
-function chooseAmong(group: TaskGroup, stepState: StepState, workers: readonly Worker[]): Worker[] | undefined {
+function chooseAmong(group: TaskGroup, stepState: StepState, {workers, now}: {workers: readonly Worker[]; now: number}): Worker[] | undefined {
 	const {definition: {sameRack, affinity}, tasks: {length}} = group;
 	// The first task of a step decides on the rack, which should have room for the others.
 	const count = sameRack && stepState.groups.every(({tasks}) => tasks.every(({worker}) => worker === undefined)) ? stepState.remaining * length : length;
 	if (sameRack && count > 1) {
 		for (const onRack of listRacks(workers, affinity)) {
-			const chosen = chooseTogether(group, stepState, {workers: onRack, count});
+			const chosen = chooseTogether(group, stepState, {workers: onRack, count, now});
 			if (chosen !== undefined) {
 				return chosen.slice(0, length);
 			}
 		}
 	}
 
-	return chooseTogether(group, stepState, {workers, count: length});
+	return chooseTogether(group, stepState, {workers, count: length, now});
 }
 
 /** Groups workers by rack: that of the data first, then those with the least free capacity, so that large gangs find room later. */
@@ -82,10 +84,10 @@
 	return [...racks.values()].toSorted((left, right) => left.free - right.free).map(({onRack}) => onRack);
 }
 
-function chooseTogether(group: TaskGroup, stepState: StepState, {workers, count}: {workers: readonly Worker[]; count: number}): Worker[] | undefined {
+function chooseTogether(group: TaskGroup, stepState: StepState, {workers, count, now}: {workers: readonly Worker[]; count: number; now: number}): Worker[] | undefined {
 	const chosen: Worker[] = [];
 	while (chosen.length < count) {
-		const worker = chooseWorker(group, stepState, workers, chosen);
+		const worker = chooseWorker(group, stepState, {workers, taken: chosen, now});
 		if (worker === undefined) {
 			return undefined;
 		}
@@ -96,10 +98,11 @@
 	return chosen;
 }
 
-function chooseWorker(group: TaskGroup, stepState: StepState, workers: readonly Worker[], taken: readonly Worker[]): Worker | undefined {
+function chooseWorker(group: TaskGroup, stepState: StepState, {workers, taken, now}: {workers: readonly Worker[]; taken: readonly Worker[]; now: number}): Worker | undefined {
 	const need = getReservedResources(group.definition);
 	const preferredRack = findPreferredRack(group, stepState, taken);
 	const countExcess = group.definition.longRunning ? createExcessCounter(stepState, {taken, limit: group.definition.mayMiss + 1}) : () => 0;
+	const countCrashed = group.definition.longRunning && group.crashedRuns.size > 0 ? (worker: Worker) => countCrashedTasks(worker, now) : () => 0;
 	let best: {worker: Worker; cost: number} | undefined;
 	for (const worker of workers) {
 		const {listing} = worker;
@@ -115,7 +118,7 @@
 		const leftoverFraction = (free.cpuMillis - need.cpuMillis) / Math.max(1, listing.capacity.cpuMillis);
 		const isOnOtherRack = preferredRack !== '' && listing.rack !== preferredRack;
 		// A leftover fraction is at most 1, so the rack of the data decides before it.
-		const cost = (isOnOtherRack ? 2 : 0) + countExcess(worker) + leftoverFraction;
+		const cost = (isOnOtherRack ? 2 : 0) + countExcess(worker) + countCrashed(worker) + leftoverFraction;
 		if (best === undefined || cost < best.cost) {
 			best = {worker, cost};
 		}
@@ -140,6 +143,16 @@
 	return worker => Math.max(0, (countByWorker.get(worker) ?? 0) + 1 - limit) + Math.max(0, (countByRack.get(worker.listing?.rack ?? '') ?? 0) + 1 - limit);
 }
 
+/** Counts the tasks of a worker that were lost in a crash before and have not shown since that they cause none. */
+function countCrashedTasks({tasks}: Worker, now: number): number {
+	let count = 0;
+	for (const task of tasks) {
+		count += task.group.crashedRuns.size > 0 && !isHarmless(task, now) ? 1 : 0;
+	}
+
+	return count;
+}
+
 /** Free resources of a worker, less those of tasks of the same gang that have been placed there already. */
 function computeFreeResources(worker: Worker, need: Resources, taken: readonly Worker[]): Resources {
 	const free = addResources(worker.listing?.capacity ?? worker.used, worker.used, -1);
--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -1,6 +1,7 @@
 import {unconfirmedCrashLimit} from '../state/constants.js';
 import {findQueuePolicy} from '../state/find-queue-policy.js';
 import {giveUpTask} from '../runs/give-up-task.js';
+import {clearProvenSuspicion} from '../crashes/clear-proven-suspicion.js';
 import {isHarmless} from '../crashes/is-harmless.js';
 import {isIsolated} from '../crashes/is-isolated.js';
 import {isStepReady} from '../state/is-step-ready.js';
@@ -33,8 +34,11 @@
 /** Time that a suspected task waits for the worker that gets no other tasks to become empty, in milliseconds; then it is started beside the tasks that are left. */
 const maximumEmptyingMs = 3000;
 
+/** Time for which a long-running task under which a single worker has crashed waits for isolation, in milliseconds. The crash was probably not its fault, and it has to run again within 6 s of its last run, of which the detection of the crash takes up to 3.4 s. */
+const longRunningIsolationWaitMs = 2000;
+
 /**
- * Places tasks that may have crashed a worker, one of each job at a time and each on a worker without other tasks but
+ * Places tasks that may have crashed a worker, one of each job at a time, of long-running ones one of each step, and each on a worker without other tasks but
  * long-running ones that have been up for long. A worker that is being emptied for one gets no other tasks in this round.
  *
  * @param context - the reducer context; its state is changed and effects are added
@@ -46,7 +50,7 @@
 export function placeIsolatedGroups(context: ReducerContext, options: {jobs: readonly ActiveJob[]; schedulable: ReadonlyMap<string, Worker[]>; budget: OrderBudget; requests: TicketRequest[]}): Map<string, number> {
 	const {scheduler, now} = context;
 	const {jobs, schedulable, budget, requests} = options;
-	const suspects = jobs.flatMap(job => listSuspects(job, now))
+	const suspects = jobs.flatMap(job => listSuspects(context, job))
 		.toSorted((left, right) => left.group.crashedRuns.size - right.group.crashedRuns.size);
 	const suspectedJobs = countJobs(scheduler, suspects);
 	if (suspects.length === 0) {
@@ -58,7 +62,9 @@
 		const {service} = findQueuePolicy(scheduler, group.job);
 		const count = countByService.get(service) ?? 0;
 		const workers = schedulable.get(service) ?? [];
-		if (budget.orders <= 0 || jobsInIsolation.has(group.job) || count >= findIsolationLimit(scheduler, service)) {
+		const isFull = count >= findIsolationLimit(scheduler, service);
+		const isOverdue = isIsolationOverdue(group, now);
+		if (budget.orders <= 0 || (jobsInIsolation.has(group.job) && !group.definition.longRunning) || (isFull && !isOverdue)) {
 			continue;
 		}
 
@@ -71,7 +77,12 @@
 			continue;
 		}
 
-		const placement = placeSuspect(context, {group, step}, workers);
+		const placement = isFull ? 'unplaced' : placeSuspect(context, {group, step}, {workers, mayEmpty: !isOverdue});
+		if (placement === 'unplaced' && isOverdue && placeGroup(context, group, {step, workers}) === 'placed') {
+			budget.orders--;
+			continue;
+		}
+
 		if (placement === 'unplaced') {
 			if (step.tickets !== undefined) {
 				step.tickets.isInsufficient = true;
@@ -98,13 +109,22 @@
 	return counts;
 }
 
-/** Lists the first suspected group of each step: one that waits for a label, for example, does not keep those of other steps waiting. */
-function listSuspects(job: ActiveJob, now: number): Suspect[] {
+/**
+ * Lists the first suspected group of each step: one that waits for a label, for example, does not keep those of other steps
+ * waiting. The long-running tasks of a step are alike, so the others wait until one has shown whether it crashes its worker.
+ */
+function listSuspects(context: ReducerContext, job: ActiveJob): Suspect[] {
+	const {now} = context;
 	const suspects: Suspect[] = [];
 	for (const steps of job.occurrences.values()) {
 		for (const step of steps) {
 			const group = step.groups.find(candidate => candidate.suspected && isUnassigned(candidate) && candidate.earliestStartAt <= now);
-			if (group !== undefined && isStepReady(steps, step)) {
+			if (group === undefined || !isStepReady(steps, step)) {
+				continue;
+			}
+
+			clearProvenSuspicion(context, step);
+			if (group.suspected && !step.groups.some(sibling => isOnProbation(sibling, now))) {
 				suspects.push({group, step});
 			}
 		}
@@ -113,6 +133,15 @@
 	return suspects;
 }
 
+/** Tells whether a suspected long-running task runs and has not been up for long. */
+function isOnProbation({suspected, definition, tasks}: TaskGroup, now: number): boolean {
+	return suspected && definition.longRunning && tasks.some(task => task.worker !== undefined && !isHarmless(task, now));
+}
+
+function isIsolationOverdue({definition, crashedRuns, unassignedSince}: TaskGroup, now: number): boolean {
+	return definition.longRunning && crashedRuns.size <= 1 && now - unassignedSince > longRunningIsolationWaitMs;
+}
+
 function countIsolatedTasks(scheduler: Scheduler, now: number): {jobsInIsolation: Set<ActiveJob>; countByService: Map<string, number>} {
 	const jobsInIsolation = new Set<ActiveJob>();
 	const countByService = new Map<string, number>();
@@ -145,8 +174,8 @@
 	return used <= capacity * idleFraction ? Math.ceil(count * idleFraction) : Math.max(1, Math.floor(count * isolatedWorkerFraction));
 }
 
-/** Starts a suspected task on an empty worker, or empties one for it. */
-function placeSuspect(context: ReducerContext, {group, step}: Suspect, workers: Worker[]): 'started' | 'emptying' | 'unplaced' {
+/** Starts a suspected task on an empty worker, or empties one for it where it may wait. */
+function placeSuspect(context: ReducerContext, {group, step}: Suspect, {workers, mayEmpty}: {workers: Worker[]; mayEmpty: boolean}): 'started' | 'emptying' | 'unplaced' {
 	const {now} = context;
 	const idle = workers.filter(worker => countOtherTasks(worker, now) === 0);
 	if (start(context, {group, step}, idle.filter(({tasks}) => tasks.size === 0)) || start(context, {group, step}, idle)) {
@@ -154,7 +183,7 @@
 		return 'started';
 	}
 
-	const emptied = chooseWorkerToEmpty({group, step}, workers, now);
+	const emptied = mayEmpty ? chooseWorkerToEmpty({group, step}, workers, now) : undefined;
 	if (emptied === undefined) {
 		return 'unplaced';
 	}
