Repeat the order for an upkeep only once its call has ended

A service that manages instances and takes 1.4 s to answer gets up to five calls at a time for each instance of a wave, and refuses other orders for it.

Cause: the order was repeated 0.3 s after it was sent, while its call lasts up to 1.5 s. Class: calls that are repeated while the former one still occupies the server, as for tickets.

Evidence: the two tests "orders for an upkeep to a slow service" of advance-waves.test.ts fail before.

Change: the order is repeated 0.3 s after an answer without an outcome, or 1.7 s after it was sent without any; moves use the same constant.

Why it works: a call has ended by then, so there is one at a time for each instance.

--- a/packages/core/src/jobs/pools/plan-drains.test.ts
+++ b/packages/core/src/jobs/pools/plan-drains.test.ts
@@ -40,7 +40,7 @@
 		};
 		scheduler.waves.set(1, {
 			request, requestedAt: 0, completed: false, published: 'running', upkeeps: new Map([['m1', {
-				instance: 'm1', incarnation: undefined, state, changedAt: 0, acceptedAt: 0, mayHaveBegun: false,
+				instance: 'm1', incarnation: undefined, state, changedAt: 0, retryAt: 0, acceptedAt: 0, mayHaveBegun: false,
 			}]]),
 		});
 	};
--- a/packages/core/src/jobs/pools/plan-moves.ts
+++ b/packages/core/src/jobs/pools/plan-moves.ts
@@ -1,4 +1,4 @@
-import {takeoverSettlingMs} from '../state/constants.js';
+import {instanceOrderTimeoutMs, takeoverSettlingMs} from '../state/constants.js';
 import {getIncarnation} from '../runs/get-incarnation.js';
 import {type ListedInstance} from '../state/instance.js';
 import {isUpkeepInProgress} from '../waves/is-upkeep-in-progress.js';
@@ -14,9 +14,6 @@
 /** Interval between two plans; a move takes more than a second. */
 const planIntervalMs = 150;
 
-/** Time after which an unanswered request for a move is repeated. */
-const moveRetryMs = 1700;
-
 /** Time after which an accepted move that no list of instances has confirmed is dropped. */
 const moveConfirmationTimeoutMs = 6000;
 
@@ -81,7 +78,7 @@
 		const isConfirmed = listed?.pool === move.pool && listed.state === 'up' && scheduler.instanceListRequestedAt > move.acceptedAt;
 		if (listed === undefined || (move.state === 'moving' && (isConfirmed || now - move.acceptedAt > moveConfirmationTimeoutMs))) {
 			scheduler.moves.delete(move.instance);
-		} else if (move.state === 'requested' && now - move.requestedAt > moveRetryMs) {
+		} else if (move.state === 'requested' && now - move.requestedAt > instanceOrderTimeoutMs) {
 			move.requestedAt = now;
 			context.effects.push({type: 'move', instance: move.instance, pool: move.pool});
 		}
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -94,6 +94,9 @@
 /** Time after a takeover during which the platform may still carry out instance orders of a former owner; it normally answers within milliseconds. */
 export const takeoverSettlingMs = 700;
 
+/** Time after which an order to the service that manages instances is repeated if its outcome is unknown; longer than its call lasts, so that a slow service gets one at a time for each instance. */
+export const instanceOrderTimeoutMs = 1700;
+
 /** Interval between two requests for the list of instances while an upkeep or a move is in progress. */
 export const instanceListIntervalMs = 500;
 
--- a/packages/core/src/jobs/state/instance.ts
+++ b/packages/core/src/jobs/state/instance.ts
@@ -39,6 +39,8 @@
 	readonly instance: string;
 	state: UpkeepState;
 	changedAt: number;
+	/** Local time from which a request that was not answered, or whose answer is unknown, is repeated. */
+	retryAt: number;
 	/** Local time of acceptance; a list requested later that shows the instance up proves that the upkeep is over. */
 	acceptedAt: number;
 	/** A request of this owner for this wave was not answered, so the upkeep may have begun. */
--- a/packages/core/src/jobs/waves/advance-waves.test.ts
+++ b/packages/core/src/jobs/waves/advance-waves.test.ts
@@ -125,3 +125,24 @@
 		assert.equal(worker.cordoned, false);
 	});
 });
+
+describe('orders for an upkeep to a slow service', () => {
+	it('guards against repeating an order while its call still waits there', () => {
+		const {owner, ordered} = createWave({unlisted: ['w5'], idleWorkers: 1});
+		owner.advance(1400);
+		assert.deepEqual(ordered, ['m5']);
+		owner.dispatch({
+			type: 'upkeep-answered', wave: 1, instance: 'm5', outcome: 'unanswered',
+		});
+		owner.advance(250);
+		assert.deepEqual(ordered, ['m5']);
+		owner.advance(200);
+		assert.deepEqual(ordered, ['m5', 'm5']);
+	});
+
+	it('guards against an order that is never repeated when no outcome becomes known', () => {
+		const {owner, ordered} = createWave({unlisted: ['w5'], idleWorkers: 1});
+		owner.advance(2500);
+		assert.deepEqual(ordered, ['m5', 'm5']);
+	});
+});
--- a/packages/core/src/jobs/waves/advance-waves.ts
+++ b/packages/core/src/jobs/waves/advance-waves.ts
@@ -1,4 +1,4 @@
-import {orderRetryMs, takeoverSettlingMs, forcedDrainFraction} from '../state/constants.js';
+import {takeoverSettlingMs, forcedDrainFraction, instanceOrderTimeoutMs} from '../state/constants.js';
 import {judgeOccupancy} from '../pools/judge-occupancy.js';
 import {listWorkersOfInstance} from '../pools/list-workers-of-instance.js';
 import {type Upkeep, type UpkeepState, type Wave} from '../state/instance.js';
@@ -65,7 +65,7 @@
 	},
 	requested(context, {wave, upkeep, workers}) {
 		cordonWorkers(workers);
-		if (context.now - upkeep.changedAt > orderRetryMs) {
+		if (context.now > upkeep.retryAt) {
 			upkeep.mayHaveBegun = true;
 			requestUpkeep(context, wave, upkeep);
 		}
@@ -183,6 +183,7 @@
 
 function requestUpkeep(context: ReducerContext, wave: Wave, upkeep: Upkeep): void {
 	changeState(context, upkeep, 'requested');
+	upkeep.retryAt = context.now + instanceOrderTimeoutMs;
 	context.effects.push({type: 'upkeep', instance: upkeep.instance, wave: wave.request.number});
 }
 
--- a/packages/core/src/jobs/waves/handle-upkeep-answer.ts
+++ b/packages/core/src/jobs/waves/handle-upkeep-answer.ts
@@ -1,3 +1,4 @@
+import {orderRetryMs} from '../state/constants.js';
 import {uncordonWorkers} from '../pools/uncordon-workers.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 
@@ -29,7 +30,11 @@
 	context.effects.push({
 		type: 'log', level: 'info', event: 'upkeep-answered', fields: {wave, instance, outcome},
 	});
-	upkeep.mayHaveBegun ||= outcome === 'unanswered';
+	if (outcome === 'unanswered') {
+		upkeep.mayHaveBegun = true;
+		upkeep.retryAt = Math.min(upkeep.retryAt, now + orderRetryMs);
+	}
+
 	if (outcome === 'accepted') {
 		upkeep.state = 'down';
 		upkeep.changedAt = now;
--- a/packages/core/src/jobs/waves/reconcile-waves.ts
+++ b/packages/core/src/jobs/waves/reconcile-waves.ts
@@ -35,7 +35,7 @@
 			request,
 			requestedAt: now,
 			upkeeps: new Map(request.instances.map(instance => [instance, {
-				instance, state: done.get(request.number)?.includes(instance) ? 'done' : 'pending', changedAt: now, acceptedAt: 0, mayHaveBegun: false,
+				instance, state: done.get(request.number)?.includes(instance) ? 'done' : 'pending', changedAt: now, retryAt: 0, acceptedAt: 0, mayHaveBegun: false,
 			}])),
 			completed: false,
 			published: 'none',
--- a/packages/testing/src/jobs/repeated-instance-orders.test.ts
+++ b/packages/testing/src/jobs/repeated-instance-orders.test.ts
@@ -54,7 +54,7 @@
 				completed: false,
 				published: 'running',
 				upkeeps: new Map([['m1', {
-					instance: 'm1', state: 'requested', changedAt: 0, acceptedAt: 0, mayHaveBegun: false,
+					instance: 'm1', state: 'requested', changedAt: 0, retryAt: 0, acceptedAt: 0, mayHaveBegun: false,
 				}]]),
 			});
 		});
