Tell held-up answers with tickets from a slow service

One answer that is held up on its way for seconds would make the service that issues tickets count as slow, so that the next lost call is overdue only after tens of seconds.

Cause: the time of each answer was taken for the service's own, also when it had answered a later call meanwhile, which it does in turn. Tickets in such an answer were dated after the later one.

Evidence: the test of the held-up answer in send-ticket-requests.test.ts; without the condition, the service counts as several times as slow as it is.

Change: an answer that a later one has overtaken does not count for the speed of the service, and its tickets date from the sending.

Why it works: the service works in turn, so what it answered later cannot have been held up by this call.

--- a/packages/core/src/jobs/placement/handle-tickets.ts
+++ b/packages/core/src/jobs/placement/handle-tickets.ts
@@ -80,14 +80,19 @@
  * Estimates when the service has decided: not before it had answered the previous call and taken its usual time for this
  * one. An answer that was held up on its way brings tickets that are older.
  */
-function estimateIssueTime({ticketService}: Scheduler, {sentAt, costMs}: TicketCall, now: number): number {
-	return Math.min(now, Math.max(sentAt, ticketService.answeredAt) + (costMs * ticketService.slowness));
+function estimateIssueTime({ticketService: {answeredAt, slowness}}: Scheduler, {sentAt, costMs, isHandled}: TicketCall, now: number): number {
+	const begunAt = isHandled ? sentAt : Math.max(sentAt, answeredAt);
+	return Math.min(now, begunAt + (costMs * slowness));
 }
 
 /** Records how long the service took. It handles calls in turn, so those that were sent before this one do not wait there any more. */
 function recordDecision({ticketService}: Scheduler, call: TicketCall, now: number): void {
-	const measured = Math.max(1, (now - call.sentAt) / call.queuedCostMs);
-	ticketService.slowness = Math.max(measured, ticketService.slowness + ((measured - ticketService.slowness) * recoveryFraction));
+	// An answer that a later one has overtaken was held up on its way, and not by the service.
+	if (!call.isHandled) {
+		const measured = Math.max(1, (now - call.sentAt) / call.queuedCostMs);
+		ticketService.slowness = Math.max(measured, ticketService.slowness + ((measured - ticketService.slowness) * recoveryFraction));
+	}
+
 	ticketService.answeredAt = now;
 	ticketService.overdueCalls = 0;
 	ticketService.refusedCalls = 0;
--- a/packages/core/src/jobs/placement/send-ticket-requests.test.ts
+++ b/packages/core/src/jobs/placement/send-ticket-requests.test.ts
@@ -271,4 +271,16 @@
 		advance(1500);
 		assert.notEqual(findStart('c'), undefined);
 	});
+
+	it('guards against taking an answer that was held up on its way for a slow service', () => {
+		const {owner, service, submit, advance} = createAdvisedOwner();
+		service.isSilent = true;
+		submit('a');
+		advance(stepMs);
+		service.isSilent = false;
+		advance(4000);
+		const decision = {outcome: 'decided', tickets: [], validMs: 5000} as const;
+		owner.dispatch({type: 'tickets-answered', call: 1, answer: decision});
+		assert.ok(owner.scheduler.ticketService.slowness < 5, `${owner.scheduler.ticketService.slowness}`);
+	});
 });
--- a/packages/core/src/jobs/placement/send-ticket-requests.ts
+++ b/packages/core/src/jobs/placement/send-ticket-requests.ts
@@ -53,10 +53,10 @@
 	const chosen: Choice[] = [];
 	const early: Choice[] = [];
 	const withoutRoomByService = new Map<string, number>();
+	const fullServices = new Set<string>();
 	for (const request of requests) {
 		const {service, tickets} = request;
-		const withoutRoom = withoutRoomByService.get(service) ?? 0;
-		if (withoutRoom >= maximumPlacementFailures && !isSpacious(scheduler, service)) {
+		if (fullServices.has(service)) {
 			continue;
 		}
 
@@ -64,7 +64,12 @@
 		if (isRoomy) {
 			chosen.push({request, workers: workers.map(({id}) => id)});
 		} else {
-			withoutRoomByService.set(service, withoutRoom + 1);
+			const withoutRoom = (withoutRoomByService.get(service) ?? 0) + 1;
+			withoutRoomByService.set(service, withoutRoom);
+			if (withoutRoom === maximumPlacementFailures && !isSpacious(scheduler, service)) {
+				fullServices.add(service);
+			}
+
 			if (!tickets.isAnswered && workers.length > 0) {
 				early.push({request, workers: workers.map(({id}) => id)});
 			}
