Try one task at a time of a job under which workers keep crashing

A job of eight long-running steps that crash their workers took four workers down at once, again and again, since one task of each step was tried at a time.

Cause: the trial of one task of each step did not end after the second crash, which is evidence against the job.

Change: a task is tried beside others of its job only while a single worker has crashed under it.

Why it works: after one trial each, tasks at fault have two crashes, and those of one job take turns as before.

--- a/packages/core/src/jobs/placement/place-isolated-groups.ts
+++ b/packages/core/src/jobs/placement/place-isolated-groups.ts
@@ -38,8 +38,8 @@
 const longRunningIsolationWaitMs = 2000;
 
 /**
- * Places tasks that may have crashed a worker, one of each job at a time, of long-running ones one of each step, and each on a worker without other tasks but
- * long-running ones that have been up for long. A worker that is being emptied for one gets no other tasks in this round.
+ * Places tasks that may have crashed a worker, one of each job at a time, and each on a worker without other tasks but
+ * long-running ones that have been up for long. Of long-running ones under which a single worker has crashed, one of each step is placed at a time. A worker that is being emptied for one gets no other tasks in this round.
  *
  * @param context - the reducer context; its state is changed and effects are added
  * @param options - jobs with ready tasks in the order of their ranks, schedulable workers by service, from which the workers taken are removed, the order budget, and the requests for tickets of this round, to which some may be added
@@ -64,7 +64,7 @@
 		const workers = schedulable.get(service) ?? [];
 		const isFull = count >= findIsolationLimit(scheduler, service);
 		const isOverdue = isIsolationOverdue(group, now);
-		if (budget.orders <= 0 || (jobsInIsolation.has(group.job) && !group.definition.longRunning) || (isFull && !isOverdue)) {
+		if (budget.orders <= 0 || (jobsInIsolation.has(group.job) && !mayBeTriedBeside(group)) || (isFull && !isOverdue)) {
 			continue;
 		}
 
@@ -138,6 +138,11 @@
 	return suspected && definition.longRunning && tasks.some(task => task.worker !== undefined && !isHarmless(task, now));
 }
 
+/** Tells whether a suspected task is tried while another one of its job runs in isolation. A job at fault takes down one worker at a time from its second crash on. */
+function mayBeTriedBeside({definition, crashedRuns}: TaskGroup): boolean {
+	return definition.longRunning && crashedRuns.size <= 1;
+}
+
 function isIsolationOverdue({definition, crashedRuns, unassignedSince}: TaskGroup, now: number): boolean {
 	return definition.longRunning && crashedRuns.size <= 1 && now - unassignedSince > longRunningIsolationWaitMs;
 }
--- a/packages/testing/src/jobs/lasting-tasks-after-crashes.test.ts
+++ b/packages/testing/src/jobs/lasting-tasks-after-crashes.test.ts
@@ -127,15 +127,22 @@
 		assert.ok((fleet.checker.crashCounts.get('lasting0.0.0.3') ?? 0) <= 6, `${fleet.checker.crashCounts.get('lasting0.0.0.3')} crashes`);
 	});
 
-	it('guards against a job at fault that takes down several workers at once', () => {
-		const culprits = Array.from({length: 8}, (_, index) => `lasting0.0.0.${index}`);
-		const fleet = createFleet(1, {jobs: [[{count: 8, mayMiss: 8}], [{count: 8}]], filled: 2, culprits});
-		let lowest = workerCount;
-		for (let at = submittedAt + 4000; at < submittedAt + 20_000; at += 50) {
-			fleet.runUntil(at);
-			lowest = Math.min(lowest, [...fleet.workers.values()].filter(({isAlive}) => isAlive).length);
-		}
+	const faultyJobs = {
+		'one step': {steps: [{count: 8, mayMiss: 8}], fromMs: 4000},
+		// Each of them is tried once beside the others.
+		'eight steps': {steps: Array.from({length: 8}, () => ({count: 1})), fromMs: 12_000},
+	};
+	for (const [name, {steps, fromMs}] of Object.entries(faultyJobs)) {
+		it(`guards against a job at fault that takes down several workers at once: ${name}`, () => {
+			const culprits = steps.flatMap(({count}, position) => Array.from({length: count}, (_, index) => `lasting0.0.${position}.${index}`));
+			const fleet = createFleet(1, {jobs: [steps, [{count: 8}]], filled: 2, culprits});
+			let lowest = workerCount;
+			for (let at = submittedAt + fromMs; at < submittedAt + 30_000; at += 50) {
+				fleet.runUntil(at);
+				lowest = Math.min(lowest, [...fleet.workers.values()].filter(({isAlive}) => isAlive).length);
+			}
 
-		assert.ok(lowest >= workerCount - 2, `${workerCount - lowest} workers were down at once`);
-	});
+			assert.ok(lowest >= workerCount - 2, `${workerCount - lowest} workers were down at once`);
+		});
+	}
 });
