Treat a worker whose entry stays away after a takeover as gone

After a change of the owner, a wave waited up to 10.3 s, the longest lease, for each worker that had been lost for good, and an empty instance whose worker is not listed was drained like one in service.

Cause: the first version of the judgement of instances had one bound for what is not known, the longest lease. The platform names a shorter one for workers that the store does not list: entries are back within about two seconds of the end of an outage, and one that is missing after that is to be treated as gone.

Evidence: waves-beside-takeovers.test.ts, "a wave that waits for the leases of workers that are gone".

Change: a worker that has not answered the new owner counts as gone for upkeep, moves and drains once its entry has been missing for 2.5 s. An empty instance without a listed worker is ordered for upkeep at once, as before.

--- a/packages/core/src/jobs/pools/judge-occupancy.ts
+++ b/packages/core/src/jobs/pools/judge-occupancy.ts
@@ -1,8 +1,9 @@
+import {entryReturnMs} from '../state/constants.js';
 import {type Worker} from '../state/scheduler.js';
 
 /**
  * Whether tasks run on an instance. `unknown`: a worker there may run tasks of a former owner and has not answered this one;
- * it answers, or its lease expires.
+ * it answers, its lease expires, or its entry in the store stays away.
  */
 export type Occupancy = 'empty' | 'occupied' | 'unknown';
 
@@ -11,7 +12,7 @@
  *
  * @param workers - the workers that may run tasks there
  * @param now - local time in milliseconds
- * @returns `empty` only if no task can be at work there
+ * @returns `empty` only if no task can be at work there, but on a worker that is gone
  * @example
  * judgeOccupancy(listWorkersOfInstance(scheduler, 'm-1', now), now) === 'empty';
  */
@@ -20,5 +21,9 @@
 		return 'occupied';
 	}
 
-	return workers.some(({unreconciledUntil}) => now <= unreconciledUntil) ? 'unknown' : 'empty';
+	return workers.some(worker => mayRunUnknownTasks(worker, now)) ? 'unknown' : 'empty';
+}
+
+function mayRunUnknownTasks({listing, unlistedAt, unreconciledUntil}: Worker, now: number): boolean {
+	return now <= unreconciledUntil && (listing !== undefined || now - unlistedAt <= entryReturnMs);
 }
--- a/packages/core/src/jobs/state/constants.ts
+++ b/packages/core/src/jobs/state/constants.ts
@@ -16,6 +16,9 @@
 /** Longest time for which a call waits at a worker that is down while the store shows nothing of it: the entry is removed after three heartbeat intervals of silence. */
 export const unseenRestartMs = 4500;
 
+/** Time for which an entry that is missing in the store may come back, as entries do within about two seconds of the end of an outage; later the worker is gone. */
+export const entryReturnMs = 2500;
+
 /** Longest time for which a worker may hold a report request open; less than a fifth of the lease, so that several lost calls do not let it expire. */
 export const reportWaitMs = 600;
 
--- a/packages/core/src/jobs/state/create-worker.ts
+++ b/packages/core/src/jobs/state/create-worker.ts
@@ -19,6 +19,7 @@
 		service,
 		startedAtMs: 0,
 		answeredStartedAtMs: 0,
+		unlistedAt: now,
 		listedStartedAtMs: 0,
 		acknowledgedOwner: false,
 		recordedAsHolder: false,
--- a/packages/core/src/jobs/state/reduce-scheduler.ts
+++ b/packages/core/src/jobs/state/reduce-scheduler.ts
@@ -117,10 +117,11 @@
 			logRestart(context, worker, {evidence: 'store-entry', startedAtMs: listing.startedAtMs});
 		}
 	},
-	'worker-unlisted'({scheduler}, {id}) {
+	'worker-unlisted'({scheduler, now}, {id}) {
 		const worker = scheduler.workers.get(id);
 		if (worker !== undefined) {
 			worker.listing = undefined;
+			worker.unlistedAt = now;
 		}
 	},
 	'instances-listed'(context, {instances, requestedAt}) {
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -85,6 +85,8 @@
 	startedAtMs: number;
 	/** Start time of the latest incarnation that has answered any call; 0 if none has named it. */
 	answeredStartedAtMs: number;
+	/** Local time since which the store does not list the worker; of no meaning while it does. */
+	unlistedAt: number;
 	/** Start time of the incarnation that the store listed last, also if it lists none now; 0 if none. */
 	listedStartedAtMs: number;
 	/** The worker has answered this owner, and therefore rejects orders of earlier owners. */
--- a/packages/core/src/jobs/waves/advance-waves.ts
+++ b/packages/core/src/jobs/waves/advance-waves.ts
@@ -26,11 +26,13 @@
 
 const handlers: Record<UpkeepState, (context: ReducerContext, target: UpkeepContext) => void> = {
 	pending(context, {wave, upkeep, workers}) {
-		if (countInProgress(context, wave) >= wave.request.maximumDown || !isListed(context, upkeep) || judgeOccupancy(workers, context.now) === 'unknown') {
+		const occupancy = judgeOccupancy(workers, context.now);
+		if (countInProgress(context, wave) >= wave.request.maximumDown || !isListed(context, upkeep) || occupancy === 'unknown') {
 			return;
 		}
 
-		if (workers.length === 0) {
+		// An empty worker that the store does not list gets no tasks, so there is nothing to drain.
+		if (occupancy === 'empty' && workers.every(({listing}) => listing === undefined)) {
 			if (context.scheduler.instances.get(upkeep.instance)?.state === 'up') {
 				requestUpkeep(context, wave, upkeep);
 			}
--- a/packages/testing/src/jobs/waves-beside-takeovers.test.ts
+++ b/packages/testing/src/jobs/waves-beside-takeovers.test.ts
@@ -72,4 +72,33 @@
 		fleet.runUntil(stoppedAt + 20_000);
 		assert.ok(fleet.peakDownCount > 0);
 	});
+
+	it('guards against a wave that waits for the leases of workers that are gone', () => {
+		const fleet = createFleet(1, {silentMs: 60_000});
+		for (const id of ['w1', 'w2', 'w3', 'w4']) {
+			fleet.at(stoppedAt, () => {
+				fleet.removeWorker(id);
+			});
+		}
+
+		fleet.runUntil(stoppedAt + 4500);
+		assert.ok(fleet.peakDownCount > 0);
+	});
+
+	for (const backMs of [500, 1500, 2000]) {
+		it(`guards against ending tasks at work on workers whose entries are away for ${backMs} ms around a takeover`, () => {
+			const fleet = createFleet(1, {silentMs: backMs});
+			fleet.at(stoppedAt, () => {
+				fleet.unlistWorker('w1');
+				fleet.unlistWorker('w2');
+			});
+			fleet.at(stoppedAt + backMs, () => {
+				fleet.unlistedWorkers.clear();
+			});
+			for (let at = stoppedAt; at < stoppedAt + 6000; at += 100) {
+				fleet.runUntil(at);
+				assert.ok(countRunning(fleet) >= taskCount - 1, `${countRunning(fleet)} of ${taskCount} tasks run at ${at} ms`);
+			}
+		});
+	}
 });
