Ask once for the tickets of a step with a suspected task

A step with a suspected task on a queue with tickets was asked for by two calls at the same time, which took both places at the service.

Cause: the placement in isolation and the ordinary one each note that the step needs tickets, and both notes were sent.

Evidence: the test "two calls at once for a step with a suspected task" of send-ticket-requests.test.ts fails without the change.

Change: each step is considered once in a round.

Why it works: the notes of one round about a step are the same.

--- a/packages/core/src/jobs/placement/send-ticket-requests.test.ts
+++ b/packages/core/src/jobs/placement/send-ticket-requests.test.ts
@@ -283,4 +283,14 @@
 		owner.dispatch({type: 'tickets-answered', call: 1, answer: decision});
 		assert.ok(owner.scheduler.ticketService.slowness < 5, `${owner.scheduler.ticketService.slowness}`);
 	});
+
+	it('guards against two calls at once for a step with a suspected task', () => {
+		const {owner, submit, advance, counts} = createAdvisedOwner();
+		submit('a');
+		const [step] = owner.scheduler.jobs.get('a')?.occurrences.get(0) ?? [];
+		assert.ok(step?.groups[0]);
+		step.groups[0].suspected = true;
+		advance(stepMs);
+		assert.equal(counts.calls, 1);
+	});
 });
--- a/packages/core/src/jobs/placement/send-ticket-requests.ts
+++ b/packages/core/src/jobs/placement/send-ticket-requests.ts
@@ -31,7 +31,9 @@
 		return;
 	}
 
-	for (const choice of chooseRequests(scheduler, {requests, count: free, now})) {
+	// A step with a suspected task is asked for by the placement in isolation and by the ordinary one.
+	const distinct = new Map(requests.map(request => [request.stepState, request]));
+	for (const choice of chooseRequests(scheduler, {requests: [...distinct.values()], count: free, now})) {
 		sendRequest(context, choice);
 	}
 }
