Log the workers that a new owner waits for

What callers saw: jobs of a service stand still for seconds after a change of the owner, and no line says why. Cause: the first line about a recorded worker that does not answer was that it is given up (654), after the wait. Nothing named its service, its entry in the store, or whether it was shutting down, so that a worker that has ended, one that is cut off and one that restarts looked the same; `details` of a task that waits for the former owner named the first four silent workers of all services.

Change: event 656 a second after the takeover for each silent worker; 654 has the same fields; the details name workers of the job's own service only, and their number. Three tests of log-holder-answer now expect the added fields and the added line, in full as before.

--- a/packages/core/src/jobs/placement/explain-wait.ts
+++ b/packages/core/src/jobs/placement/explain-wait.ts
@@ -11,6 +11,7 @@
 import {isEligible} from './is-eligible.js';
 import {isHeldBack} from './is-held-back.js';
 import {hasAssignedTask} from './has-assigned-task.js';
+import {unknownService} from './list-unreconciled-services.js';
 import {mayStartUnderLimit} from './may-start-under-limit.js';
 import {mayStillRun} from './may-still-run.js';
 import {needsTrial} from './needs-trial.js';
@@ -33,7 +34,8 @@
 	const {service} = findQueuePolicy(scheduler, job);
 	const workers = schedulable.get(service) ?? [];
 	if (job.recovered && mayStillRun(scheduler, job, unreconciledServices)) {
-		return {reason: 'former-owner', details: {workers: listIds(scheduler, ({unreconciledUntil}) => unreconciledUntil > now)}};
+		const mayRunIt = ({unreconciledUntil, service: known}: Worker): boolean => unreconciledUntil > now && [unknownService, job.definition.service, service].includes(known);
+		return {reason: 'former-owner', details: {workers: listIds(scheduler, mayRunIt), count: [...scheduler.workers.values()].filter(worker => mayRunIt(worker)).length}};
 	}
 
 	if (earliestStartAt > now) {
--- a/packages/core/src/jobs/runs/log-holder-abandonment.ts
+++ b/packages/core/src/jobs/runs/log-holder-abandonment.ts
@@ -1,5 +1,6 @@
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Worker} from '../state/scheduler.js';
+import {describeHolder} from './describe-holder.js';
 
 /**
  * Logs, once for each worker, that this owner no longer waits for a worker that a former owner recorded as a holder and that
@@ -18,8 +19,6 @@
 
 	worker.abandonmentLogged = true;
 	effects.push({
-		type: 'log', level: 'warn', event: 'holder-abandoned', fields: {
-			worker: worker.id, reason, waitedMs: Math.round(now - scheduler.tookOverAt), listedStartedAtMs: worker.listing?.startedAtMs,
-		},
+		type: 'log', level: 'warn', event: 'holder-abandoned', fields: {...describeHolder(worker, now), reason, waitedMs: Math.round(now - scheduler.tookOverAt)},
 	});
 }
--- a/packages/core/src/jobs/runs/log-holder-answer.test.ts
+++ b/packages/core/src/jobs/runs/log-holder-answer.test.ts
@@ -81,12 +81,17 @@
 });
 
 describe('log of a recorded holder that has not answered', () => {
+	const known = {
+		worker: 'w1', service: 'planner', instance: 'm1', boundedStartedAtMs: 2000, listedStartedAtMs: 2000, leaving: false, unlistedMs: undefined,
+	};
+
 	it('appears once when the wait is over, and the holder\'s later answer after it', () => {
 		const {advance, report} = createOwner();
-		const [line, ...others] = listHolderLines(advance(20_000));
+		const [silent, line, ...others] = listHolderLines(advance(20_000));
 		assert.deepEqual(others, []);
+		assert.equal(silent?.event, 'holder-silent');
 		assert.deepEqual({...line, waitedMs: undefined}, {
-			event: 'holder-abandoned', worker: 'w1', reason: 'unanswered', waitedMs: undefined, listedStartedAtMs: 2000,
+			event: 'holder-abandoned', ...known, reason: 'unanswered', waitedMs: undefined,
 		});
 		assert.ok(Number(line?.waitedMs) > taskLeaseMs);
 		assert.deepEqual(listHolderLines(report('w1')).map(({event}) => event), ['holder-answered']);
@@ -96,15 +101,16 @@
 		const {dispatch, advance} = createOwner();
 		dispatch({type: 'worker-unlisted', id: 'w1'});
 		const lines = listHolderLines(advance(20_000));
-		assert.equal(lines.length, 1);
-		assert.equal(lines[0]?.listedStartedAtMs, undefined);
+		assert.deepEqual(lines.map(({event, listedStartedAtMs}) => ({event, listedStartedAtMs})), [
+			{event: 'holder-silent', listedStartedAtMs: undefined}, {event: 'holder-abandoned', listedStartedAtMs: undefined},
+		]);
 	});
 
 	it('has the reason when the owner learns that the holder has ended', () => {
 		const {dispatch, advance} = createOwner();
 		const effects = dispatch({type: 'report-failed', worker: 'w1', outcome: 'other-worker'});
 		assert.deepEqual(listHolderLines(effects), [{
-			event: 'holder-abandoned', worker: 'w1', reason: 'address-reused', waitedMs: 0, listedStartedAtMs: 2000,
+			event: 'holder-abandoned', ...known, reason: 'address-reused', waitedMs: 0,
 		}]);
 		assert.deepEqual(listHolderLines(advance(20_000)), []);
 	});
--- a/packages/core/src/jobs/state/create-worker.ts
+++ b/packages/core/src/jobs/state/create-worker.ts
@@ -56,6 +56,7 @@
 		wasLeaving: false,
 		unexplainedLoss: undefined,
 		loggedRestarts: new Map(),
+		silenceLogged: false,
 		abandonmentLogged: false,
 	};
 }
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -156,6 +156,8 @@
 	unexplainedLoss: UnexplainedLoss | undefined;
 	/** Start time of the last incarnation that was logged as new, by what has shown it. */
 	readonly loggedRestarts: Map<RestartEvidence, number>;
+	/** It was logged that the worker, a recorded holder, has not answered this owner yet. */
+	silenceLogged: boolean;
 	/** It was logged that this owner no longer waits for the worker as a holder. */
 	abandonmentLogged: boolean;
 };
--- a/packages/daemon/src/log-events.ts
+++ b/packages/daemon/src/log-events.ts
@@ -213,6 +213,9 @@
 	'holder-abandoned': {
 		number: 654, level: 'warn', text: 'A worker that may run tasks of a former owner has not answered; this owner waits no longer, and starts its tasks elsewhere. `reason` is `unanswered` once the wait is over, otherwise what showed that the worker has ended', action: 'Check the worker; see "Leases and incarnations of a worker" in docs/operations/platform.md.',
 	},
+	'holder-silent': {
+		number: 656, level: 'warn', text: 'A worker that may run tasks of a former owner has not answered this one for a second; jobs of its service wait for `waitMs` more at most. `listedStartedAtMs`, `leaving` and `unlistedMs` say what the store shows of it', action: 'Check the worker; see "Takeovers" in docs/operations/platform.md.',
+	},
 	'other-run-stopped': {
 		number: 640, level: 'warn', text: 'A run of a task has ended as done while a later one was under way, which is stopped; the end is acknowledged once the later one cannot start any more',
 		action: 'Look for event 626 of the first worker: why its tasks were given up.',
