Test long-running tasks beside workers that end for good around a change of the owner

What callers saw: long-running tasks stand still for over 9 s, though there is room, after a worker ended for good just before the ownership changed or just before a task was started on it (rule LOST).

--- a/packages/testing/src/jobs/fleet-model.ts
+++ b/packages/testing/src/jobs/fleet-model.ts
@@ -263,6 +263,21 @@
 		this.#heartbeats.remove(id);
 	}
 
+	/** Ends a worker for good together with its instance, if it has one. Its entry in the store lapses, or is removed at once. */
+	loseWorker(id: string, {isEntryRemoved = false}: {isEntryRemoved?: boolean} = {}): void {
+		const worker = this.workers.get(id);
+		if (worker === undefined) {
+			return;
+		}
+
+		this.#instances.instances.delete(worker.listing.instance);
+		if (isEntryRemoved) {
+			this.removeWorker(id);
+		} else {
+			worker.crash(this.now);
+		}
+	}
+
 	/** Removes the entry of a worker from the store while the worker runs on; its heartbeats reach the store no more. */
 	unlistWorker(id: string): void {
 		this.unlistedWorkers.add(id);
@@ -308,8 +323,11 @@
 		this.dispatch({type: 'waves-requested', waves: this.#waves});
 	}
 
-	/** A new owner recovers the schedule from the store; the former one may have crashed or be partitioned from the store. */
-	takeOver(): void {
+	/**
+	 * A new owner recovers the schedule from the store; the former one may have crashed or be partitioned from the store.
+	 * It finds the entries of workers that are up and, if `areEndedListed`, those of ended ones that have not lapsed.
+	 */
+	takeOver({areEndedListed = false}: {areEndedListed?: boolean} = {}): void {
 		this.#fence++;
 		// The scheduler allows 400 ms for a stop; the modelled workers stop a task within 200 ms.
 		const scheduler = createScheduler({
@@ -323,7 +341,7 @@
 		this.#perform(this.owner, pass.effects);
 		for (const worker of this.workers.values()) {
 			const listing = this.#heartbeats.findListing(worker);
-			if (worker.isAlive && listing !== undefined) {
+			if (listing !== undefined && (worker.isAlive || (areEndedListed && this.#heartbeats.isListed(listing.id)))) {
 				this.dispatch({type: 'worker-listed', worker: listing});
 			}
 		}
--- a/packages/testing/src/jobs/heartbeat-model.ts
+++ b/packages/testing/src/jobs/heartbeat-model.ts
@@ -31,6 +31,11 @@
 		return this.#fleet.unlistedWorkers.has(id) ? this.#entries.get(id)?.listing : worker.listing;
 	}
 
+	/** Tells whether the store has an entry of a worker. */
+	isListed(id: string): boolean {
+		return this.#entries.has(id);
+	}
+
 	/** Writes the entry of a worker and starts its heartbeats; they end when another incarnation replaces it. */
 	start(worker: WorkerModel): void {
 		this.#write(worker);
