Treat a worker whose instance the platform has taken away as ended

What callers saw: after each change of the owner beside a worker that had ended, jobs of its whole service stood still for 10.3 s, and a long-running task did not run though there was room (LOST).

Cause: the owner waits for the longest lease of each recorded worker that does not answer, since it may be a life that nobody has seen. The only evidence that ended the wait was an answer; a worker that is gone for good never gives one. The same wait, of up to 16 s, holds a task with an unanswered start order to a worker that has just ended.

Change: a worker has ended when two complete lists in a row, both requested since it last answered, are without its instance, and the first of them is confirmed by all workers that have answered since. No task is blamed for it. The list is requested each half second while a worker that may run tasks does not answer, less often with more than 100 instances.

Why it works: what is taken away runs nothing and has no next life, so that neither its lease nor a late order needs a wait; a worker that is only cut off stays listed, and waits are as before.

--- a/packages/core/src/jobs/crashes/record-loss.ts
+++ b/packages/core/src/jobs/crashes/record-loss.ts
@@ -2,10 +2,14 @@
 import {isPlannedEnd} from '../runs/is-planned-end.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type LostRun, type Worker} from '../state/scheduler.js';
+import {dismissLoss} from './dismiss-loss.js';
 import {describeLostRuns} from './describe-lost-runs.js';
 import {countCrash} from './count-crash.js';
 import {isSiblingProven} from './is-sibling-proven.js';
 
+/** Reason of a loss with an instance that the platform has taken away, which no task has caused. */
+export const instanceGone = 'instance-gone';
+
 /** Maximum number of runs in a log line. */
 const maximumLoggedRuns = 20;
 
@@ -21,6 +25,11 @@
  */
 export function recordLoss(context: ReducerContext, worker: Worker, reason: string): void {
 	const {scheduler, now} = context;
+	if (reason === instanceGone) {
+		dismissLoss(worker);
+		return;
+	}
+
 	const earlier = worker.unexplainedLoss?.runs ?? [];
 	// Tasks that were kept at the expiry of the lease are described already.
 	const runs = [...earlier, ...describeLostRuns(worker, now).filter(({task, run}) => !earlier.some(lost => lost.task === task && lost.run === run))];
--- a/packages/core/src/jobs/pools/handle-instances.ts
+++ b/packages/core/src/jobs/pools/handle-instances.ts
@@ -1,24 +1,26 @@
 import {idleInstanceListIntervalMs, instanceListIntervalMs, takeoverSettlingMs} from '../state/constants.js';
+import {instanceGone} from '../crashes/record-loss.js';
 import {endIncarnation} from '../runs/end-incarnation.js';
 import {type ListedInstance, type Upkeep, type Wave} from '../state/instance.js';
 import {type ReducerContext} from '../state/reducer-context.js';
 import {type Worker} from '../state/scheduler.js';
 import {hasBegunForWave} from '../waves/has-begun-for-wave.js';
+import {listGoneWorkers} from './list-gone-workers.js';
 import {uncordonWorkers} from './uncordon-workers.js';
 
 /**
  * Processes the list of instances. A worker that has neither answered nor got a new entry in the store since the list was
- * requested has ended if the list shows its instance without it. An upkeep is over if a list requested after its acceptance shows the instance up, or if
+ * requested has ended if the list shows its instance without it, or if two lists in a row are without the instance. An upkeep is over if a list requested after its acceptance shows the instance up, or if
  * the instance has left the list.
  *
  * @param context - the reducer context; its state is changed
- * @param answer - the whole list, and the local time at which it was requested
+ * @param answer - the list, the local time at which it was requested, and whether all of its entries could be read
  * @example
  * handleInstances(context, {instances, requestedAt});
  */
-export function handleInstances(context: ReducerContext, answer: {instances: readonly ListedInstance[]; requestedAt: number}): void {
+export function handleInstances(context: ReducerContext, answer: {instances: readonly ListedInstance[]; requestedAt: number; isComplete?: boolean | undefined}): void {
 	const {scheduler, now} = context;
-	const {instances, requestedAt} = answer;
+	const {instances, requestedAt, isComplete = true} = answer;
 	scheduler.instanceListPending = false;
 	scheduler.instanceListRequestedAt = requestedAt;
 	scheduler.instances.clear();
@@ -33,6 +35,12 @@
 		}
 	}
 
+	const listing = {ids: new Set(instances.map(({id}) => id)), requestedAt, isComplete};
+	for (const worker of listGoneWorkers(scheduler, listing)) {
+		endIncarnation(context, worker, instanceGone);
+	}
+
+	scheduler.instanceListing = listing;
 	let isBusy = scheduler.moves.size > 0;
 	for (const wave of scheduler.waves.values()) {
 		isBusy ||= !wave.completed;
--- a/packages/core/src/jobs/state/create-scheduler.ts
+++ b/packages/core/src/jobs/state/create-scheduler.ts
@@ -91,6 +91,7 @@
 		instanceListDueAt: now,
 		instanceListPending: false,
 		instanceListRequestedAt: Number.NEGATIVE_INFINITY,
+		instanceListing: undefined,
 		poolLoads: new Map(),
 		poolPolicy: defaultPoolPolicy,
 		burstPattern: createBurstPattern(),
--- a/packages/core/src/jobs/state/event.ts
+++ b/packages/core/src/jobs/state/event.ts
@@ -76,7 +76,8 @@
 	| {readonly type: 'job-cancelled'; readonly id: string}
 	| {readonly type: 'worker-listed'; readonly worker: ListedWorker}
 	| {readonly type: 'worker-unlisted'; readonly id: string}
-	| {readonly type: 'instances-listed'; readonly instances: readonly ListedInstance[]; readonly requestedAt: number}
+	/** `isComplete`: all entries of the list could be read; true by default. */
+	| {readonly type: 'instances-listed'; readonly instances: readonly ListedInstance[]; readonly requestedAt: number; readonly isComplete?: boolean}
 	/** The request for the list of instances failed. */
 	| {readonly type: 'instances-unlisted'}
 	| {readonly type: 'worker-reported'; readonly worker: string; readonly requestedAt: number; readonly report: WorkerReport}
--- a/packages/core/src/jobs/state/reduce-scheduler.ts
+++ b/packages/core/src/jobs/state/reduce-scheduler.ts
@@ -5,6 +5,7 @@
 import {locateWorker} from '../runs/locate-worker.js';
 import {logRestart} from '../runs/log-restart.js';
 import {placeReadyTasks} from '../placement/place-ready-tasks.js';
+import {isInstanceListDue} from '../pools/is-instance-list-due.js';
 import {planMoves} from '../pools/plan-moves.js';
 import {handleInstances} from '../pools/handle-instances.js';
 import {handleMoveAnswer} from '../pools/handle-move-answer.js';
@@ -124,8 +125,8 @@
 			worker.unlistedAt = now;
 		}
 	},
-	'instances-listed'(context, {instances, requestedAt}) {
-		handleInstances(context, {instances, requestedAt});
+	'instances-listed'(context, {instances, requestedAt, isComplete}) {
+		handleInstances(context, {instances, requestedAt, isComplete});
 	},
 	'instances-unlisted'({scheduler, now}) {
 		scheduler.instanceListPending = false;
@@ -218,7 +219,7 @@
 
 	superviseWorkers(context);
 	reviewLeases(context);
-	if (!scheduler.instanceListPending && now >= scheduler.instanceListDueAt) {
+	if (isInstanceListDue(scheduler, now)) {
 		scheduler.instanceListPending = true;
 		scheduler.instanceListDueAt = now + idleInstanceListIntervalMs;
 		context.effects.push({type: 'list-instances'});
--- a/packages/core/src/jobs/state/scheduler.ts
+++ b/packages/core/src/jobs/state/scheduler.ts
@@ -366,6 +366,15 @@
 	readonly waves: readonly Wave[];
 };
 
+/** Ids of the instances in a list. */
+export type InstanceListing = {
+	readonly ids: ReadonlySet<string>;
+	/** Local time at which the list was requested. */
+	readonly requestedAt: number;
+	/** All entries of the list could be read. */
+	readonly isComplete: boolean;
+};
+
 /** State of the schedule in the process that owns it. */
 export type Scheduler = {
 	/** Number of this ownership; higher than that of every earlier owner. */
@@ -445,6 +454,8 @@
 	instanceListPending: boolean;
 	/** Local time at which the latest list of instances was requested. */
 	instanceListRequestedAt: number;
+	/** The latest list of instances; undefined before the first. */
+	instanceListing: InstanceListing | undefined;
 	/** Load of each pool when moves were last planned. */
 	poolLoads: ReadonlyMap<string, PoolLoad>;
 	/** Rules by which moves are planned. */
--- a/packages/daemon/src/jobs/perform-scheduler-effect.ts
+++ b/packages/daemon/src/jobs/perform-scheduler-effect.ts
@@ -136,8 +136,8 @@
 	},
 	async 'list-instances'(_effect, {platform, dispatch}) {
 		const requestedAt = performance.now();
-		const instances = await platform.instances.list();
-		dispatch(instances === undefined ? {type: 'instances-unlisted'} : {type: 'instances-listed', instances, requestedAt});
+		const list = await platform.instances.list();
+		dispatch(list === undefined ? {type: 'instances-unlisted'} : {type: 'instances-listed', ...list, requestedAt});
 	},
 	async upkeep({instance, wave}, {platform, owner, dispatch}) {
 		const outcome = await platform.instances.requestMaintenance({owner, instance, wave});
--- a/packages/daemon/src/jobs/ports.ts
+++ b/packages/daemon/src/jobs/ports.ts
@@ -70,9 +70,12 @@
 export type InstanceAnswer = 'accepted' | 'busy' | 'foreign' | 'fenced' | 'unanswered';
 
 /** Calls to the service that manages instances. Each resolves to an outcome and never rejects. */
+/** A list of instances; `isComplete` is false if it has entries that could not be read. */
+export type InstanceList = {readonly instances: readonly ListedInstance[]; readonly isComplete: boolean};
+
 export type InstanceCalls = {
 	/** Resolves to undefined unless the whole list could be read. */
-	list(): Promise<readonly ListedInstance[] | undefined>;
+	list(): Promise<InstanceList | undefined>;
 	requestMaintenance(order: {readonly owner: OwnerIdentity; readonly instance: string; readonly wave: number}): Promise<InstanceAnswer>;
 	move(order: {readonly owner: OwnerIdentity; readonly instance: string; readonly pool: string}): Promise<InstanceAnswer>;
 };
--- a/packages/daemon/src/jobs/scheduler-runner.test.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.test.ts
@@ -59,7 +59,7 @@
 				},
 			}),
 		},
-		instances: {list: async () => []},
+		instances: {list: async () => ({instances: [], isComplete: true})},
 		operatorFormat: {waveStatusPrefix, decodeCompletedWave: () => undefined},
 		registrationFormat: {prefix: workersPrefix, decodeId: (key: string) => key.slice(workersPrefix.length), decode: () => listing},
 	} as unknown as Platform;
--- a/packages/testing/src/jobs/lasting-tasks-of-lost-holder.test.ts
+++ b/packages/testing/src/jobs/lasting-tasks-of-lost-holder.test.ts
@@ -85,7 +85,7 @@
 	// An idle worker is too small for long-running tasks, and holds leases for short ones.
 	const workers = createWorkers(workerCount).map((worker, position) => areIdle && position === 0 ? {...worker, capacity: {...worker.capacity, cpuMillis: 500}} : worker);
 	const fleet = new FleetModel({
-		seed, configuration: createConfiguration({organisations}), ...(areInstancesListed ? addInstances(workers) : {workers}),
+		seed, configuration: createConfiguration({organisations, pools: [{name: 'planner'}]}), ...(areInstancesListed ? addInstances(workers) : {workers}),
 	});
 	fleet.takeOver();
 	fleet.at(submittedAt, () => {
