Place jobs at once that were accepted while the schedule had no owner

What callers saw: after the owner was killed beside a silent worker, also jobs that were submitted between the kill and the takeover waited for that worker, 10.3 s at most.

Cause: each job that a new owner reads from the store counted as one that a former owner may have started.

Change: the grant of an ownership has the store revision from which on the schedule had no owner, if the process has seen the former one removed and the record of the term shows no other since. Jobs accepted at a later revision need not wait.

Why it works: a former owner sends no order after its lease has ended, and the entry of an accepted job is only created, never changed. Where the revision is not known, all jobs wait as before.

--- a/packages/daemon/src/jobs/decode-unfinished-jobs.ts
+++ b/packages/daemon/src/jobs/decode-unfinished-jobs.ts
@@ -10,6 +10,8 @@
 	readonly job: Job;
 	readonly progress: Progress | undefined;
 	readonly cancelled: boolean;
+	/** Store revision of its acceptance; undefined if it is not known. */
+	readonly acceptedRevision?: number | undefined;
 };
 
 /**
@@ -23,7 +25,8 @@
 export function decodeUnfinishedJobs(entries: readonly Entry[]): UnfinishedJob[] {
 	const parts = new Map<string, Partial<Record<JobPart, string>>>();
 	const progressById = new Map<string, string>();
-	for (const {key, value} of entries) {
+	const acceptedRevisions = new Map<string, number>();
+	for (const {key, value, modRevision} of entries) {
 		if (key.startsWith(progressPrefix)) {
 			progressById.set(key.slice(progressPrefix.length), value);
 			continue;
@@ -32,6 +35,9 @@
 		const location = parseJobKey(key);
 		if (location !== undefined) {
 			parts.set(location.id, {...parts.get(location.id), [location.part]: value});
+			if (location.part === 'accepted') {
+				acceptedRevisions.set(location.id, modRevision);
+			}
 		}
 	}
 
@@ -40,7 +46,9 @@
 		const progress = progressById.get(id);
 		const job = accepted === undefined ? undefined : parseJob(accepted);
 		if (job !== undefined) {
-			jobs.push({job, progress: progress === undefined ? undefined : parseStoredValue(progressSchema, progress), cancelled: cancelled !== undefined});
+			jobs.push({
+				job, progress: progress === undefined ? undefined : parseStoredValue(progressSchema, progress), cancelled: cancelled !== undefined, acceptedRevision: acceptedRevisions.get(id),
+			});
 		}
 	}
 
--- a/packages/daemon/src/jobs/owner-election.ts
+++ b/packages/daemon/src/jobs/owner-election.ts
@@ -45,6 +45,8 @@
 	readonly term: number;
 	/** Store revision of the claim, sent with each order; increases with each owner. */
 	readonly fencingToken: number;
+	/** Store revision from which on no former owner has started any task, at the latest that of this claim; undefined if it is not known. */
+	readonly vacantSince?: number | undefined;
 };
 
 export type OwnershipListener = {
@@ -79,6 +81,8 @@
 	#isOwnerAssumed = true;
 	/** Local time of the last loss of the ownership. */
 	#lostAt = Number.NEGATIVE_INFINITY;
+	/** Store revision of the last removal of the owner that was seen; undefined if an owner was seen since, or none has been removed. */
+	#vacantSince: number | undefined;
 	/** The owner as the store names it. */
 	#owner: Entry | undefined;
 	/** Store revision of the last request to hand the schedule over; 0 before the first. */
@@ -117,6 +121,7 @@
 	start(): void {
 		this.#stopFollowing = followPrefix(this.#store, ownerKey, {
 			onListing: ({entries}) => {
+				this.#vacantSince = undefined;
 				this.#observeOwner(entries.find(({key}) => key === ownerKey));
 				this.#observeHandover(entries.find(({key}) => key === handoverKey));
 			},
@@ -124,6 +129,7 @@
 				for (const {key, value, modRevision} of changes) {
 					const entry = value === undefined ? undefined : {key, value, modRevision};
 					if (key === ownerKey) {
+						this.#vacantSince = entry === undefined ? modRevision : undefined;
 						this.#observeOwner(entry);
 					} else if (key === handoverKey) {
 						this.#observeHandover(entry);
@@ -263,6 +269,8 @@
 
 		const storedTerm = terms.value.entries.find(({key}) => key === termKey);
 		const term = Number(storedTerm?.value ?? 0) + 1;
+		// The term is written by each claim, so a later revision shows an owner that was not seen.
+		const vacantSince = this.#vacantSince !== undefined && (storedTerm?.modRevision ?? 0) < this.#vacantSince ? this.#vacantSince : undefined;
 		const sentAt = performance.now();
 		const lease = await this.#store.grantLease(ownerLeaseTtlMs);
 		if (!lease.ok) {
@@ -280,7 +288,9 @@
 			failure: [{type: 'get', key: ownerKey}],
 		});
 		if (!claimed.ok) {
-			return this.#confirmClaim({lease: lease.value, term, sentAt});
+			return this.#confirmClaim({
+				lease: lease.value, term, sentAt, vacantSince,
+			});
 		}
 
 		if (!claimed.value.succeeded) {
@@ -289,16 +299,16 @@
 			return this.#isOwnerAssumed;
 		}
 
-		this.#becomeOwner({lease: lease.value, sentAt, grant: {term, fencingToken: claimed.value.revision}});
+		this.#becomeOwner({lease: lease.value, sentAt, grant: {term, fencingToken: claimed.value.revision, vacantSince}});
 		return true;
 	}
 
 	/** Reads from the store whether a claim whose answer was lost took effect. */
-	async #confirmClaim(claim: {lease: string; term: number; sentAt: number}): Promise<boolean> {
+	async #confirmClaim(claim: {lease: string; term: number; sentAt: number; vacantSince: number | undefined}): Promise<boolean> {
 		const listing = await this.#store.list(ownerKey);
 		const owner = listing.ok ? listing.value.entries.find(({key}) => key === ownerKey) : undefined;
 		if (owner?.value === this.#encodeOwner() && owner.leaseId === claim.lease) {
-			this.#becomeOwner({lease: claim.lease, sentAt: claim.sentAt, grant: {term: claim.term, fencingToken: owner.modRevision}});
+			this.#becomeOwner({lease: claim.lease, sentAt: claim.sentAt, grant: {term: claim.term, fencingToken: owner.modRevision, vacantSince: claim.vacantSince}});
 			return true;
 		}
 
--- a/packages/daemon/src/jobs/scheduler-runner.test.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.test.ts
@@ -7,9 +7,9 @@
 import {createLogger} from '../create-logger.js';
 import {createJobKey} from './create-job-key.js';
 import {createPayloadKey} from './create-payload-key.js';
-import {jobsPrefix, ownerKey} from './keys.js';
+import {holdersKey, jobsPrefix, ownerKey} from './keys.js';
 import {type OperatorStateCache} from './operator-state-cache.js';
-import {type OwnerElection} from './owner-election.js';
+import {type OwnerElection, type OwnershipGrant} from './owner-election.js';
 import {type Platform, type StartOrder} from './ports.js';
 import {type ProcessSettings} from './process-settings.js';
 import {SchedulerRunner} from './scheduler-runner.js';
@@ -31,11 +31,12 @@
 };
 
 /** Creates a runner with one worker and one job, in a process that is the owner all the while: at first by the grant of the runner, later by another one. */
-function createRunner(calls: Partial<Store>, options: {onListing?: (prefix: string) => void} = {}) {
+function createRunner(calls: Partial<Store>, options: {onListing?: (prefix: string) => void; grant?: OwnershipGrant; entries?: Readonly<Record<string, Listing>>} = {}) {
+	const {grant = {term: 1, fencingToken: 1}, entries = listings} = options;
 	const starts: StartOrder[] = [];
 	const stepDowns: string[] = [];
 	const store: Partial<Store> = {
-		list: async prefix => ({ok: true, value: listings[prefix] ?? {entries: [], revision: 1}}),
+		list: async prefix => ({ok: true, value: entries[prefix] ?? {entries: [], revision: 1}}),
 		transact: async () => ({ok: true, value: {succeeded: true, revision: 2, entries: []}}),
 		watch: () => () => undefined,
 	};
@@ -53,11 +54,13 @@
 				starts.push(order);
 				return {outcome: 'accepted', clockMs: 1};
 			},
-			requestReport: async () => ({
-				ok: true, report: {
-					startedAtMs: 1, clockMs: 1, running: [], ended: [],
-				},
-			}),
+			requestReport: async ({worker}: {worker: string}) => worker === 'silent'
+				? {ok: false, outcome: 'unanswered'}
+				: ({
+					ok: true, report: {
+						startedAtMs: 1, clockMs: 1, running: [], ended: [],
+					},
+				}),
 		},
 		instances: {list: async () => ({instances: [], isComplete: true})},
 		operatorFormat: {waveStatusPrefix, decodeCompletedWave: () => undefined},
@@ -77,7 +80,7 @@
 				stepDowns.push(reason);
 			},
 		} as unknown as OwnerElection,
-		grant: {term: 1, fencingToken: 1},
+		grant,
 	});
 	return {runner, starts, stepDowns};
 }
@@ -164,3 +167,24 @@
 		assert.ok(stepDowns.length > 0);
 	});
 });
+
+describe('jobs that were accepted while the schedule had no owner', () => {
+	const holder = {
+		id: 'silent', address: '10.0.0.9:80', instance: '', service: job.service, boundedStartedAtMs: 1,
+	};
+	const payloadKey = createPayloadKey('a');
+	const entries = {
+		...listings,
+		[holdersKey]: {entries: [{key: holdersKey, value: JSON.stringify([holder]), modRevision: 1}], revision: 1},
+		[payloadKey]: {entries: [{key: payloadKey, value: 'text', modRevision: 1}], revision: 1},
+	};
+	for (const {vacantSince, isStarted} of [{vacantSince: 0, isStarted: true}, {vacantSince: 1, isStarted: true}, {vacantSince: 2, isStarted: false}, {vacantSince: undefined, isStarted: false}]) {
+		it(`guards against a wait for a silent worker that cannot run them, and against a second run: accepted at revision 1, vacant since ${vacantSince ?? 'an unknown one'}`, async () => {
+			const {runner, starts} = createRunner({}, {grant: {term: 2, fencingToken: 9, vacantSince}, entries});
+			await runner.start();
+			await delay(200);
+			runner.stop();
+			assert.equal(starts.length > 0, isStarted);
+		});
+	}
+});
--- a/packages/daemon/src/jobs/scheduler-runner.ts
+++ b/packages/daemon/src/jobs/scheduler-runner.ts
@@ -88,8 +88,9 @@
 
 		const scheduler = this.#createScheduler(configuration, stored);
 		const pass = {scheduler, ...this.#readClocks(), effects: []};
-		for (const {job, progress, cancelled} of stored.jobs) {
-			addJob(pass, job, {progress, cancelled, recovered: true});
+		const {vacantSince = Number.POSITIVE_INFINITY} = grant;
+		for (const {job, progress, cancelled, acceptedRevision = 0} of stored.jobs) {
+			addJob(pass, job, {progress, cancelled, recovered: acceptedRevision < vacantSince});
 		}
 
 		this.#scheduler = scheduler;
