Review: show tasks that run twice after a queue changed its service

A new owner keeps tasks back only while a silent worker belongs to the service at a job's acceptance or to the present one of its queue. Tasks that the former owner started at a service in between are started again beside their runs.

--- a/review/stand-ins-3/cloud.js
+++ b/review/stand-ins-3/cloud.js
@@ -57,7 +57,13 @@
 		if (request.method === 'GET') {
 			sendJson(response, 200, {
 				machines: [...this.#machines.values()].map(({machine, pool, state, zone, labels, capacity, worker}) => ({
-					machine, pool, state, zone, labels, capacity, id: state === 'up' && worker.isUp ? worker.id : '',
+					machine,
+					pool,
+					state: state === 'up' && !worker.isUp && pool !== this.#options.sparePool ? 'down' : state,
+					zone,
+					labels,
+					capacity,
+					id: state === 'up' && worker.isUp ? worker.id : '',
 				})),
 				next_token: null,
 			});
--- a/review/stand-ins-3/worker.js
+++ b/review/stand-ins-3/worker.js
@@ -1,7 +1,7 @@
 /* eslint-disable camelcase -- the platform's names */
 /**
  * Stand-in for a worker over HTTP: leases, fencing tokens, run numbers and numbered ends as the platform's pages describe
- * them. `spec` of a job holds the run time of its tasks in milliseconds.
+ * them. `spec` of a job holds the run time of its tasks in milliseconds, or `lasts`.
  */
 import {performance} from 'node:perf_hooks';
 import {listenOn, readJson, sendJson} from './http.js';
@@ -11,10 +11,18 @@
 /** Time that a worker takes to stop a run; the pages allow `stop_ms`, which is 900 in the settings of the deployments. */
 const stopMs = 700;
 const endCheckMs = 5;
+const startupMs = 500;
 const firstClockMs = 1000;
 const maximumReportedEnds = 500;
 
+/** Progress of a run; a task that lasts is at work after a short startup. */
+function measurePercent(elapsedMs, durationMs) {
+	return durationMs === Number.POSITIVE_INFINITY ? Math.min(100, Math.floor(100 * elapsedMs / startupMs)) : Math.min(99, Math.floor(100 * elapsedMs / durationMs));
+}
+
 export class Worker {
+	/** Cut off from all processes of the system: calls don't arrive, and the worker runs on. */
+	isCut = false;
 	id;
 	service;
 	machine;
@@ -166,6 +174,10 @@
 			return;
 		}
 
+		if (this.isCut) {
+			return;
+		}
+
 		if (request.headers['x-expect-instance'] !== undefined && request.headers['x-expect-instance'] !== this.id) {
 			sendJson(response, 421, {});
 			return;
@@ -174,7 +186,7 @@
 		this.#advance();
 		const handlers = {'/run-start': () => this.#startRun(life, order), '/run-stop': () => this.#stopRun(life, order), '/hold': async () => this.#hold(life, order, response)};
 		const answer = await (handlers[request.url] ?? (() => ({status: 404})))();
-		if (life === this.#life) {
+		if (life === this.#life && !this.isCut) {
 			sendJson(response, answer.status, {clock_ms: this.#readClock(life), born: life.born, ...answer.body});
 		}
 	}
@@ -215,7 +227,7 @@
 		}
 
 		this.#extend(life, deadline);
-		const durationMs = Number(spec);
+		const durationMs = spec === 'lasts' ? Number.POSITIVE_INFINITY : Number(spec);
 		life.runs.set(task, {
 			task, run, startedAt: clock, endAt: clock + durationMs, durationMs, stopAt: undefined,
 		});
@@ -257,7 +269,7 @@
 		return {
 			status: 200,
 			body: {
-				running: [...life.runs.values()].map(({task, run, startedAt, durationMs}) => [task, run, '', Math.min(99, Math.floor(100 * (clock - startedAt) / durationMs)), 0]),
+				running: [...life.runs.values()].map(({task, run, startedAt, durationMs}) => [task, run, '', measurePercent(clock - startedAt, durationMs), 0]),
 				finished: life.finished.slice(0, maximumReportedEnds),
 			},
 		};
