Review: show sound jobs that wait for isolation on an idle service

After the crash of a rack, every task that was started with the last ones on its workers is suspected and runs alone for two seconds, on a part of the workers only, so that jobs of one task wait for one another.

Adds case 12, a script that crashes the four workers of one rack after many waiting jobs have started together.

--- a/review/12/run.js
+++ b/review/12/run.js
@@ -1,7 +1,7 @@
 /* eslint-disable camelcase -- the platform's names */
 /**
- * A worker is lost for good while tasks that last run on it, and the process that gives the orders is killed. Each of these
- * tasks has to run again within 6 s of its last run, and 3 s more, since there is room and all is calm.
+ * Jobs that have waited for a full service start together. Then the workers of one rack crash, and come back. All jobs have
+ * to run on, since most of the service is idle.
  */
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -13,42 +13,41 @@
 
 const isTroubled = process.env.TROUBLE !== '0';
 const host = 'jobs.example';
-const jobId = '00000000000000a1';
-const workerCount = 8;
-const taskCount = 5;
+const key = 'key-one';
 const capacity = {cpu: 64_000, mem_mb: 131_072, gpu: 0};
-const ownerKey = 'rosemaryquay/owner';
-
-/** The rule: for 3 s, from 6 s after its last run. */
-const allowedMs = 9000;
-
-/** The rule asks for 4 calm seconds before the 3 s; nothing is done to the deployment after the two disruptions. */
-const watchMs = 25_000;
+const workerCount = 8;
+const rackSize = 4;
+const jobCount = 120;
+const jobIntervalMs = 33;
+const taskCpu = 3300;
+const taskMs = 1600;
+const fillerMs = 6000;
+const downMs = 7000;
+const finishMs = 14_000;
+const windowMs = 3000;
 
 const recorder = new Recorder(fileURLToPath(new URL('record.txt', import.meta.url)));
 const running = new Map();
-const lostAt = new Map();
-const gaps = [];
+const started = new Map();
 
 function record(event) {
-	recorder.write(event);
-	const {type, task} = event;
+	const {type, task, run, worker} = event;
+	const id = `${worker}/${task}/${run}`;
 	if (type === 'started') {
-		running.set(task, event);
-		if (lostAt.has(task)) {
-			gaps.push({task, gapMs: recorder.elapsedMs - lostAt.get(task)});
-			lostAt.delete(task);
-		}
+		running.set(id, event);
+		started.set(task.split('.')[0], recorder.elapsedMs);
 	} else if (type === 'ended' || type === 'lost') {
-		running.delete(task);
-		lostAt.set(task, recorder.elapsedMs);
+		running.delete(id);
 	}
+
+	recorder.write(event);
 }
 
 const store = new Store();
 const cloud = new Cloud({record, sparePool: undefined});
 const deployment = new Deployment({recorder});
 const workers = [];
+const jobs = [];
 let exitCode = 2;
 
 async function waitUntil(isReached, limitMs) {
@@ -62,22 +61,65 @@
 	}
 }
 
+async function submit(front, {id, count, cpu, ms}) {
+	const {status} = await deployment.callAsClient({
+		front,
+		host,
+		method: 'POST',
+		path: `/alert/${id}`,
+		key,
+		body: {
+			spec: String(ms), steps: [{
+				count, cpu, mem_mb: 512, estimated_ms: ms,
+			}],
+		},
+	});
+	if (status === 200) {
+		jobs.push(id);
+	}
+}
+
+async function crashRack() {
+	recorder.write({type: 'crash', workers: workers.slice(0, rackSize).map(({id, running: rows}) => [id, rows.length])});
+	await Promise.all(workers.slice(0, rackSize).map(async worker => {
+		const {id, service} = worker;
+		await worker.crash();
+		await delay(downMs);
+		await worker.start({id, service});
+	}));
+}
+
+/** Lists the jobs that are not completed. */
+async function listOpenJobs() {
+	const open = [];
+	for (const id of jobs) {
+		const {status, body} = await deployment.callAsClient({
+			front: deployment.fronts[0], host, method: 'GET', path: `/alert/${id}`, key,
+		});
+		if (status !== 200 || body.state !== 'completed') {
+			open.push(id);
+		}
+	}
+
+	return open;
+}
+
 async function play() {
 	await store.start();
 	await cloud.start();
 	store.put('op/config', JSON.stringify({
 		version: 1,
 		routes: [{
-			name: 'log', host, prefix: '/log/', kind: 'unsafe', timeout_ms: 3000, target_latency_ms: 2500, priority: 0, service: 'alerts', max_attempts: 4, stretch: 2.2, allow_anonymous: true,
+			name: 'alert', host, prefix: '/alert/', kind: 'unsafe', timeout_ms: 3000, target_latency_ms: 600, priority: 0, service: 'alerts', max_attempts: 2, stretch: 1.6, allow_anonymous: false,
 		}],
 		services: [{name: 'alerts', enforces_capacity: true, spare: false}],
 		limits: {max_body_bytes: 262_144},
 		tenants: [{
-			name: 'one', api_keys: ['key-one'], weight: 1, max_count: {cpu: 0, mem_mb: 0, gpu: 0},
+			name: 'one', api_keys: [key], weight: 1, max_count: {cpu: 0, mem_mb: 0, gpu: 0},
 		}],
 	}));
 	for (let index = 0; index < workerCount; index++) {
-		const rack = `r${Math.floor(index / 4)}`;
+		const rack = `r${Math.floor(index / rackSize)}`;
 		const zone = index % 2 === 0 ? 'one' : 'two';
 		const worker = new Worker({
 			store, record, machine: `m${index}`, zone, rack, capacity,
@@ -88,50 +130,59 @@
 		});
 	}
 
-	for (const zone of ['one', 'two', 'three']) {
+	for (const zone of ['one', 'two']) {
 		await deployment.startFront({
 			name: `front-${zone}`, zone, store: store.address, cloud: cloud.address,
 		});
 	}
 
 	await delay(3000);
-	const {status} = await deployment.callAsClient({
-		front: deployment.fronts[0],
-		host,
-		method: 'POST',
-		path: `/log/${jobId}`,
-		body: {
-			spec: 'lasts', steps: [{
-				count: taskCount, cpu: 4000, mem_mb: 512, estimated_ms: 500, long_running: true,
-			}],
-		},
+	await submit(deployment.fronts[0], {
+		id: '00000000000000ff', count: 16, cpu: 32_000, ms: fillerMs,
 	});
-	if (status !== 200) {
-		throw new Error(`The job was not accepted: ${status}`);
+	await waitUntil(() => running.size === 16, 10_000);
+	const submissions = [];
+	for (let number = 1; number <= jobCount; number++) {
+		submissions.push(submit(deployment.fronts[number % 2], {
+			id: `${number.toString(16).padStart(15, '0')}e`, count: 1, cpu: taskCpu, ms: taskMs,
+		}));
+		await delay(jobIntervalMs);
 	}
 
-	await waitUntil(() => running.size === taskCount, 10_000);
-	// All tasks have been up for long.
-	await delay(8000);
-	if (isTroubled) {
-		const owner = JSON.parse(store.read(ownerKey)).instance;
-		const lost = workers.find(worker => worker.running.length > 0);
-		recorder.write({
-			type: 'trouble', killed: owner, lost: lost.id, running: lost.running,
+	await Promise.all(submissions);
+	await waitUntil(() => started.size > jobCount * 0.9, 20_000);
+	await delay(500);
+	const crashing = isTroubled ? crashRack() : undefined;
+	// The traffic goes on until the workers are back.
+	const backAt = Date.now() + downMs;
+	for (let number = jobCount + 1; Date.now() < backAt; number++) {
+		await submit(deployment.fronts[number % 2], {
+			id: `${number.toString(16).padStart(15, '0')}e`, count: 1, cpu: taskCpu, ms: taskMs,
 		});
-		deployment.fronts.find(({name}) => name === owner).child.kill('SIGKILL');
-		await lost.crash();
+		await delay(1000);
 	}
 
-	await delay(watchMs);
-	for (const [task, at] of lostAt) {
-		gaps.push({task, gapMs: recorder.elapsedMs - at, isOpen: true});
+	await crashing;
+	await delay(finishMs);
+	const beganAt = recorder.elapsedMs;
+	let peakCpu = 0;
+	const watched = new Set(await listOpenJobs());
+	while (recorder.elapsedMs < beganAt + windowMs) {
+		peakCpu = Math.max(peakCpu, running.size * taskCpu);
+		for (const {task} of running.values()) {
+			watched.delete(task.split('.')[0]);
+		}
+
+		await delay(5);
 	}
 
-	const late = gaps.filter(({gapMs}) => gapMs > allowedMs);
-	recorder.write({type: 'result', gaps, late});
-	process.stdout.write(`tasks without a run: ${gaps.map(({task, gapMs}) => `${task} for ${gapMs} ms`).join(', ') || 'none'}; ${late.length} for over ${allowedMs} ms\n`);
-	exitCode = late.length > 0 ? 1 : 0;
+	const idle = [...watched].filter(id => (started.get(id) ?? 0) < beganAt);
+	recorder.write({
+		type: 'result', accepted: jobs.length, idle, peakCpu,
+	});
+	const use = `at most ${peakCpu} of ${workerCount * capacity.cpu} in use`;
+	process.stdout.write(`${jobs.length} jobs accepted; ${finishMs} ms after the end of the traffic, ${idle.length} jobs have nothing running for ${windowMs} ms, with ${use}\n`);
+	exitCode = idle.length > 0 && peakCpu < workerCount * capacity.cpu / 2 ? 1 : 0;
 }
 
 try {
