Review: bound the scripts and start killed processes again

A script that hung or was told to end left its processes behind, and an error in a stand-in looked like a broken rule.

--- a/review/11/run.js
+++ b/review/11/run.js
@@ -18,6 +18,10 @@
 const workersPerService = 4;
 const ownerKey = 'rosemaryquay/owner';
 const cutMs = 5000;
+
+/** A process that is killed is started again after a short delay. */
+const restartMs = 500;
+
 const rounds = 2;
 
 const recorder = new Recorder(fileURLToPath(new URL('record.txt', import.meta.url)));
@@ -118,11 +122,13 @@
 		});
 		cut.isCut = true;
 		owner.child.kill('SIGKILL');
-		await delay(cutMs);
-		cut.isCut = false;
+		const healing = delay(cutMs);
+		await delay(restartMs);
 		await deployment.startFront({
 			name: `${owner.name}x`, zone: owner.zone, store: store.address, cloud: cloud.address,
 		});
+		await healing;
+		cut.isCut = false;
 	}
 
 	await waitUntil(() => countRuns(second) === 0, 40_000);
--- a/review/stand-ins-3/deployment.js
+++ b/review/stand-ins-3/deployment.js
@@ -18,6 +18,11 @@
 const root = fileURLToPath(new URL('../../', import.meta.url));
 const startLimitMs = 20_000;
 
+/** A case may run for 120 s; it ends as one that could not run before that. */
+const caseLimitMs = 112_000;
+const couldNotRunExitCode = 2;
+const endingSignals = ['SIGINT', 'SIGTERM', 'SIGHUP'];
+
 /** Reads the command of the project's program from the deploy file. */
 function readCommand() {
 	const text = readFileSync(path.join(root, 'deploy/system.toml'), 'utf8');
@@ -62,6 +67,30 @@
 
 	constructor({recorder}) {
 		this.#recorder = recorder;
+		setTimeout(() => {
+			this.#abandon(`The case has run for ${caseLimitMs} ms`);
+		}, caseLimitMs).unref();
+		for (const signal of endingSignals) {
+			process.once(signal, () => {
+				this.#abandon(`The case was ended by ${signal}`);
+			});
+		}
+
+		// An error of the script must not look like a broken rule.
+		process.once('uncaughtException', error => {
+			this.#abandon(error.stack);
+		});
+	}
+
+	/** Ends the script and all processes that it started. */
+	#abandon(reason) {
+		process.stdout.write(`The case could not run: ${reason}\n`);
+		for (const {child} of this.fronts) {
+			child.kill('SIGKILL');
+		}
+
+		rmSync(this.#folder, {recursive: true, force: true});
+		process.exit(couldNotRunExitCode); // eslint-disable-line unicorn/no-process-exit -- the script must end at once
 	}
 
 	/** Starts a process of the project; resolves once it is ready. */
