--- a/review/12/run.js
+++ b/review/12/run.js
@@ -28,14 +28,30 @@
 
 const recorder = new Recorder(fileURLToPath(new URL('record.txt', import.meta.url)));
 const running = new Map();
-const started = new Map();
+const started = new Set();
+
+/** Jobs with a run since the beginning of the time that is checked, and the most that was in use since then. */
+const active = new Set();
+let peakCpu = 0;
+
+function findJob(task) {
+	return task.split('.')[0];
+}
+
+function noteUse() {
+	peakCpu = Math.max(peakCpu, running.size * taskCpu);
+	for (const {task} of running.values()) {
+		active.add(findJob(task));
+	}
+}
 
 function record(event) {
 	const {type, task, run, worker} = event;
 	const id = `${worker}/${task}/${run}`;
 	if (type === 'started') {
 		running.set(id, event);
-		started.set(task.split('.')[0], recorder.elapsedMs);
+		started.add(findJob(task));
+		noteUse();
 	} else if (type === 'ended' || type === 'lost') {
 		running.delete(id);
 	}
@@ -164,19 +180,14 @@
 
 	await crashing;
 	await delay(finishMs);
-	const beganAt = recorder.elapsedMs;
-	let peakCpu = 0;
-	const watched = new Set(await listOpenJobs());
-	while (recorder.elapsedMs < beganAt + windowMs) {
-		peakCpu = Math.max(peakCpu, running.size * taskCpu);
-		for (const {task} of running.values()) {
-			watched.delete(task.split('.')[0]);
-		}
-
-		await delay(5);
-	}
-
-	const idle = [...watched].filter(id => (started.get(id) ?? 0) < beganAt);
+	active.clear();
+	peakCpu = 0;
+	noteUse();
+	recorder.write({type: 'check'});
+	await delay(windowMs);
+	const activeJobs = new Set(active);
+	const open = await listOpenJobs();
+	const idle = open.filter(id => !activeJobs.has(id));
 	recorder.write({
 		type: 'result', accepted: jobs.length, idle, peakCpu,
 	});
