--- a/review/13/run.js
+++ b/review/13/run.js
@@ -22,7 +22,10 @@
 /** The rule: for 3 s, from 6 s after its last run. */
 const allowedMs = 9000;
 
-/** The rule asks for 4 calm seconds before the 3 s; nothing is done to the deployment after the two disruptions. */
+/** A process that is killed is started again after a short delay. */
+const restartMs = 500;
+
+/** The rule asks for 4 calm seconds before the 3 s; nothing is done to the deployment after the two disruptions and the new start. */
 const watchMs = 25_000;
 
 const recorder = new Recorder(fileURLToPath(new URL('record.txt', import.meta.url)));
@@ -119,8 +122,13 @@
 		recorder.write({
 			type: 'trouble', killed: owner, lost: lost.id, running: lost.running,
 		});
-		deployment.fronts.find(({name}) => name === owner).child.kill('SIGKILL');
+		const killed = deployment.fronts.find(({name}) => name === owner);
+		killed.child.kill('SIGKILL');
 		await lost.crash();
+		await delay(restartMs);
+		await deployment.startFront({
+			name: `${owner}x`, zone: killed.zone, store: store.address, cloud: cloud.address,
+		});
 	}
 
 	await delay(watchMs);
